--- /dev/null
+++ b/src/brain/brain.cpp
@@ -0,0 +1,550 @@
+// meadowgauge's decisions, all of them, with every constant one of them rests on.
+//
+// Callers hold a Brain for each balancer instance and ask it, as they would a client library: where() a visit
+// goes, what to do after() an outcome, how long to wait(). Lists, probes and ticks come in as plain calls.
+// The interface is defined in brain.hpp; docs/design.md gives the reasons. The mechanism is the caller-side
+// throttle over ten seconds of outcomes, then the idle-first pick.
+
+#include "brain/brain.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <random>
+
+namespace meadow {
+namespace {
+
+// The throttle (PAPER, "sre" preset).
+constexpr int buckets = 40;
+constexpr double bucket_ms = 250;
+constexpr double k_top = 1.5;
+constexpr double k_floor = 1.1;
+constexpr double protection = 5;
+constexpr double trial_every_ms = 1000;
+
+// Sick servers.
+constexpr double evidence_ms = 5000;  // outcomes fade over this time
+constexpr double bad_margin = 0.12;   // failing share above thrice the others' that benches a server
+constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
+constexpr double bench_most_ms = 8000;
+constexpr double forgiven_ms = 10000;  // well for this long: relapses are forgotten
+constexpr double silence_floor_ms = 400;
+constexpr double silence_factor = 4;  // times the slow end of the tier's answers
+constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
+
+// Repeats.
+constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
+constexpr double retry_burst = 10;
+constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
+
+// Cold servers.
+constexpr double cold_safety = 0.5;
+constexpr double cold_burst = 1;
+
+// The list.
+constexpr double tick_ms = 100;
+constexpr double ask_first_ms = 400;
+constexpr double ask_base_ms = 500;
+constexpr double ask_silent_ms = 5000;  // an asking without an answer counts as failed after this
+
+enum class Repeat : std::uint8_t { readlike, tagged, mutating };
+enum class Group : std::uint8_t { all, zone, cell };
+
+struct Prefix {
+  Repeat repeat = Repeat::mutating;
+  Group group = Group::cell;
+  double ttl = 0;
+  double target = 1000;
+  double timeout = 5000;
+};
+
+struct Bucket {
+  std::int64_t slot = -1;
+  int total = 0, accepts = 0, failures = 0;
+};
+
+struct Be {
+  int zone = 0, pod = 0;
+  Standing standing = Standing::gone;
+  double up_since = 0;
+  int out = 0;
+  bool fresh = true;         // no outcome yet since it was new or restarted
+  double waiting_since = 0;  // last sign of life while something is out
+  double good = 0, bad = 0, touched = 0;
+  double rate = 0;  // own deliveries, faded like the evidence
+  double bench_until = 0, well_since = 0;
+  int relapses = 0;
+  bool trial = false;  // back from the bench, one visit at a time
+  double tokens = cold_burst, tokens_at = 0;
+};
+
+bool ran_maybe(const Fetch& f) {
+  return f.out || (f.status != Status::full && f.status != Status::unreachable && f.status != Status::moot);
+}
+
+}  // namespace
+
+struct Brain::Core {
+  Core(const Settings& s, std::uint64_t seed, double now) : settings(s), started(now) {
+    std::seed_seq words{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
+    rng.seed(words);
+    int n = static_cast<int>(number("path_prefixes.count", 0));
+    for (int i = 0; i < n; ++i) {
+      auto at = "path_prefixes." + std::to_string(i) + ".";
+      Prefix p;
+      auto repeat = word(at + "repeat"), group = word(at + "group");
+      p.repeat = repeat == "idempotent"     ? Repeat::readlike
+                 : repeat == "deduplicated" ? Repeat::tagged
+                                            : Repeat::mutating;
+      p.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
+      p.ttl = number(at + "key_ttl_ms", 0);
+      p.target = number(at + "target_latency_ms", 1000);
+      p.timeout = number(at + "client_timeout_ms", 5 * p.target);
+      prefixes.push_back(p);
+    }
+    if (prefixes.empty()) prefixes.emplace_back();
+    max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
+    second_copies = word("limits.second_copies") == "true";
+    cancelling = word("limits.cancelling") == "true";
+    if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
+    wire_tick = number("tick_ms", 5);
+    cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
+    warm_ms = number("rules.warm_after_ms", 20000);
+    overload_factor = number("rules.overload_factor", 2);
+    asks = word("discovery") == "subscribe";
+    ask_within = number("rules.ask_within_ms", 10000);
+    ask_at = now + uniform() * ask_first_ms;
+    probe_price = number("fees.probe", 0);
+  }
+
+  // --- Settings -------------------------------------------------------------------------------------------
+  [[nodiscard]] std::string_view word(const std::string& name) const {
+    auto it = settings.find(name);
+    return it == settings.end() ? std::string_view{} : std::string_view{it->second};
+  }
+
+  double number(const std::string& name, double otherwise) {
+    auto text = word(name);
+    if (text.empty()) return otherwise;
+    double v = 0;
+    auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), v);
+    if (bad == std::errc{} && end == text.data() + text.size() && std::isfinite(v)) return v;
+    lines.push_back("setting " + name + " can't be read: " + std::string(text));
+    return otherwise;
+  }
+
+  double uniform() { return static_cast<double>(rng()) / 4294967296.0; }
+  int below(int n) { return static_cast<int>(rng() % static_cast<std::uint32_t>(n)); }
+  const Prefix& prefix(const Visit& v) const {
+    return prefixes[std::clamp(v.prefix, 0, static_cast<int>(prefixes.size()) - 1)];
+  }
+
+  // --- The throttle ---------------------------------------------------------------------------------------
+  Bucket& bucket(double now) {
+    auto slot = static_cast<std::int64_t>(std::floor(now / bucket_ms));
+    auto& b = window[static_cast<std::size_t>(slot % buckets)];
+    if (b.slot != slot) b = {.slot = slot};
+    return b;
+  }
+
+  void count(double now, bool accepted) {
+    auto& b = bucket(now);
+    ++b.total;
+    ++(accepted ? b.accepts : b.failures);
+  }
+
+  [[nodiscard]] double drop(double now) const {
+    auto head = static_cast<std::int64_t>(std::floor(now / bucket_ms));
+    double total = 0, accepts = 0;
+    int failing = 0, working = 0;
+    bool run_fails = true, run_works = true;
+    for (auto slot = head; slot > head - buckets && slot >= 0; --slot) {
+      const auto& b = window[static_cast<std::size_t>(slot % buckets)];
+      if (b.slot != slot) continue;
+      total += b.total;
+      accepts += b.accepts;
+      if (b.accepts > 0) run_fails = false;
+      if (b.failures > 0) run_works = false;
+      if (run_fails && b.failures > 0) ++failing;
+      if (run_works && b.accepts > 0) ++working;
+    }
+    double w = std::max(k_top - (k_top - k_floor) * failing / buckets, k_floor);
+    return (total - protection - w * accepts) / (total + 1) * (buckets - working) / buckets;
+  }
+
+  // True: this visit is refused at its arrival.
+  bool throttled(double now) {
+    double d = drop(now);
+    if (d > 0 && now - last_passed < trial_every_ms && uniform() < d) {
+      ++bucket(now).total;
+      return true;
+    }
+    last_passed = now;
+    return false;
+  }
+
+  // --- What is known of each server -----------------------------------------------------------------------
+  void fade(Be& be, double now) const {
+    double f = std::exp((be.touched - now) / evidence_ms);
+    be.good *= f;
+    be.bad *= f;
+    be.touched = now;
+  }
+
+  // An outcome says something of this server: is it worse than its peers?
+  void judge(int i, bool failed, double now) {
+    auto& be = bes[i];
+    fade(be, now);
+    ++(failed ? be.bad : be.good);
+    if (!failed) {
+      if (be.trial) {
+        be.trial = false;
+        be.good = 1;
+        be.bad = 0;
+        be.well_since = now;
+      }
+      if (be.relapses > 0 && now - be.well_since > forgiven_ms) be.relapses = 0;
+      return;
+    }
+    double good = 0, bad = 0.2;
+    for (int j : listed)
+      if (j != i) {
+        fade(bes[j], now);
+        good += bes[j].good;
+        bad += bes[j].bad;
+      }
+    double peers = bad / (good + bad + 1);
+    // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
+    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 3 * peers)) {
+      be.bench_until =
+          now + std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) * (0.8 + 0.4 * uniform());
+      be.relapses = std::min(be.relapses + 1, 8);
+      be.trial = true;
+      be.good = be.bad = 0;
+      if (be.relapses == 1) lines.push_back("benched a server that fails more than its peers");
+    }
+  }
+
+  [[nodiscard]] bool benched(const Be& be, double now) const { return be.trial && be.bench_until > now; }
+
+  // Nothing heard for long while something is out and others answer.
+  [[nodiscard]] bool silent(const Be& be, double now) const {
+    double quiet = now - be.waiting_since;
+    return be.out > 0 && quiet > std::max(silence_floor_ms, silence_factor * slow_end) &&
+           now - last_answer < quiet / 2;
+  }
+
+  [[nodiscard]] bool usable(const Be& be, double now) const {
+    return !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
+  }
+
+  [[nodiscard]] bool cold(const Be& be, double now) const {
+    return be.up_since > 0 && now - be.up_since < warm_ms;
+  }
+
+  // --- Rules: every send passes permitted(), every own final answer passes finish() -----------------------
+  [[nodiscard]] bool permitted(const Visit& v, int i, double now) const {
+    const auto& be = bes[i];
+    if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
+    if (be.standing != Standing::ready) return false;
+    if (cold(be, now) && be.tokens < 1) return false;
+    const auto& p = prefix(v);
+    for (int n = 0; n < v.sent; ++n) {
+      const auto& f = v.fetches[n];
+      if (f.out && !second_copies) return false;
+      if (!ran_maybe(f) || p.repeat == Repeat::readlike) continue;
+      if (p.repeat == Repeat::mutating || now - f.sent > p.ttl * (1 - ttl_margin)) return false;
+      const auto& was = bes[f.be];
+      if (p.group == Group::zone && was.zone != be.zone) return false;
+      if (p.group == Group::cell && was.pod != be.pod) return false;
+    }
+    return true;
+  }
+
+  // The final answer when nothing was delivered: a bounce only where a client's repeat does no harm.
+  Answer finish(Visit& v, double now) {
+    Answer a;
+    if (v.answered || v.streaming) return a;
+    const auto& p = prefix(v);
+    bool harmless = true;
+    for (int n = 0; n < v.sent; ++n) {
+      const auto& f = v.fetches[n];
+      if (!ran_maybe(f) || p.repeat == Repeat::readlike) continue;
+      if (p.repeat == Repeat::mutating || p.group != Group::all || now - f.sent > p.ttl * (1 - ttl_margin))
+        harmless = false;
+    }
+    v.answered = true;
+    a.kind = harmless ? Answer::bounce : Answer::error;
+    if (harmless) a.retry_after = advice(now);
+    a.cancel = rest(v);
+    return a;
+  }
+
+  [[nodiscard]] double advice(double now) const { return most_advice * std::clamp(drop(now), 0.0, 1.0); }
+
+  [[nodiscard]] std::uint32_t rest(const Visit& v) const {
+    std::uint32_t bits = 0;
+    for (int n = 0; cancelling && n < v.sent; ++n)
+      if (v.fetches[n].out) bits |= 1u << n;
+    return bits;
+  }
+
+  // --- The pick -------------------------------------------------------------------------------------------
+  int pick(const Visit& v, double now) {
+    candidates.clear();
+    double others = 0;
+    int known = 0, ready = 0;
+    for (int i : listed) {
+      auto& be = bes[i];
+      if (be.standing != Standing::ready) continue;
+      ++ready;
+      if (!be.fresh) {
+        others += be.out;
+        ++known;
+      }
+      if (cold(be, now)) refill(be, now);
+      if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
+    }
+    // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
+    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
+      candidates.clear();
+      for (int i : listed)
+        if (permitted(v, i, now) && (!tried(v, i) || ready == 1)) candidates.push_back(i);
+      if (candidates.empty()) return -1;
+    }
+    double mean = known > 0 ? others / known : 0;
+    auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
+    int idle = 0, pick = -1;
+    for (int i : candidates)
+      if (held(i) < 0.5 && below(++idle) == 0) pick = i;
+    if (pick >= 0) return pick;
+    int a = candidates[below(static_cast<int>(candidates.size()))];
+    int b = candidates[below(static_cast<int>(candidates.size()))];
+    return held(b) < held(a) ? b : a;
+  }
+
+  [[nodiscard]] static bool tried(const Visit& v, int i) {
+    for (int n = 0; n < v.sent; ++n)
+      if (v.fetches[n].be == i) return true;
+    return false;
+  }
+
+  // A cold server's share of this instance's sends: what a warm one is seen to deliver, scaled down.
+  void refill(Be& be, double now) {
+    double grown = cold_share + (1 - cold_share) * std::clamp((now - be.up_since) / warm_ms, 0.0, 1.0);
+    double per_ms = warm_rate * overload_factor * grown * cold_safety;
+    be.tokens = std::min(cold_burst, be.tokens + per_ms * (now - be.tokens_at));
+    be.tokens_at = now;
+  }
+
+  Answer send(Visit& v, int i, double now) {
+    auto& be = bes[i];
+    if (cold(be, now)) be.tokens -= 1;
+    if (be.out++ == 0) be.waiting_since = now;
+    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .out = true, .second = v.out > 0};
+    ++v.out;
+    return {.kind = Answer::fetch, .be = i};
+  }
+
+  // --- The three calls ------------------------------------------------------------------------------------
+  Answer where(Visit& v, double now) {
+    if (v.answered || v.streaming) return {};
+    if (!v.admitted) {
+      v.admitted = true;
+      retries = std::min(retry_burst, retries + retry_share);
+      if (throttled(now)) return finish(v, now);
+    } else if (v.out > 0) {
+      return {};
+    }
+    int i = pick(v, now);
+    return i >= 0 ? send(v, i, now) : finish(v, now);
+  }
+
+  Answer after(Visit& v, const Report& rt, double now) {
+    if (rt.number < 0 || rt.number >= v.sent || !v.fetches[rt.number].out) return {};
+    auto& f = v.fetches[rt.number];
+    auto& be = bes[f.be];
+    f.out = false;
+    f.status = rt.status;
+    --v.out;
+    be.out = std::max(0, be.out - 1);
+    be.waiting_since = now;
+    bool was_answered = v.answered;
+    v.answered = v.answered || rt.closed;
+    note(f, now);
+    Answer a;
+    if (was_answered) return a;
+    if (v.answered) {
+      a.cancel = rest(v);
+      return a;
+    }
+    if (v.out > 0 || v.streaming) return a;
+    if (again(rt.status, now)) {
+      int i = pick(v, now);
+      if (i >= 0) {
+        retries -= 1;
+        return send(v, i, now);
+      }
+    }
+    return finish(v, now);
+  }
+
+  [[nodiscard]] bool again(Status s, double now) const {
+    return s != Status::cancelled && retries >= 1 && drop(now) <= 0;
+  }
+
+  void note(const Fetch& f, double now) {
+    if (f.status == Status::cancelled || f.status == Status::moot) return;
+    auto& be = bes[f.be];
+    bool ok = f.status == Status::delivered;
+    be.fresh = false;
+    last_answer = ok ? now : last_answer;
+    if (ok) {
+      double took = now - f.sent;
+      double step = std::max(1.0, slow_end * 0.02);
+      slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
+      be.rate += 1;
+    }
+    bool sick = be.trial;
+    if (f.status != Status::full) judge(f.be, !ok, now);
+    if (ok || !(sick || be.trial)) count(now, ok);
+  }
+
+  Patience wait(const Visit& v, double now) const {
+    Patience p;
+    p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
+    return p;
+  }
+
+  // --- News -----------------------------------------------------------------------------------------------
+  void list(ListKind kind, std::span<const Entry> entries, double now) {
+    if (kind == ListKind::failed) {
+      subscribed = false;
+      asked = false;
+      schedule_ask(now);
+      return;
+    }
+    if (kind != ListKind::cached) {
+      if (failures > 2) lines.push_back("the list of upstreams answers again");
+      subscribed = true;
+      asked = false;
+      failures = 0;
+    }
+    if (kind != ListKind::delta)
+      for (int i : listed) bes[i].standing = Standing::gone;
+    for (const auto& e : entries) {
+      if (e.be < 0) continue;
+      if (e.be >= static_cast<int>(bes.size())) bes.resize(e.be + 1);
+      auto& be = bes[e.be];
+      bool known = std::find(listed.begin(), listed.end(), e.be) != listed.end();
+      if (!known) listed.push_back(e.be);
+      if (!known || e.up_since > be.up_since) {
+        int out = be.out;
+        be = Be{};
+        be.out = out;
+        be.waiting_since = now;
+        be.tokens_at = now;
+      }
+      be.zone = e.zone;
+      be.pod = e.pod;
+      be.up_since = std::max(be.up_since, e.up_since);
+      be.standing = e.standing;
+    }
+    std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
+  }
+
+  void schedule_ask(double now) {
+    failures = std::min(failures + 1, 10);
+    if (failures == 3) lines.push_back("the list of upstreams is out of reach");
+    ask_at = now + std::min(ask_base_ms * std::exp2(failures - 1), ask_within / 3) * (0.5 + uniform());
+  }
+
+  Chores tick(double now) {
+    Chores c;
+    if (asks && asked && now - asked_at > ask_silent_ms) {
+      asked = false;
+      schedule_ask(now);
+    }
+    if (asks && !subscribed && !asked && now >= ask_at) {
+      c.subscribe = true;
+      asked = true;
+      asked_at = now;
+    }
+    double warm = 0;
+    int n = 0;
+    double f = std::exp(-tick_ms / evidence_ms);
+    for (int i : listed) {
+      bes[i].rate *= f;
+      if (bes[i].standing == Standing::ready && !cold(bes[i], now)) {
+        warm += bes[i].rate;
+        ++n;
+      }
+    }
+    double seen = evidence_ms * (1 - std::exp(-(now - started + 1) / evidence_ms));
+    if (n > 0) warm_rate = warm / n / seen;
+    double d = drop(now);
+    if (d > 0.1 && now - said > 5000) {
+      char text[80];
+      std::snprintf(text, sizeof text, "throttle refuses %.0f in 100", d * 100);
+      lines.emplace_back(text);
+      said = now;
+    }
+    c.lines = std::move(lines);
+    lines.clear();
+    return c;
+  }
+
+  // --- State ----------------------------------------------------------------------------------------------
+  Settings settings;
+  double started;
+  std::mt19937 rng;
+  std::vector<Prefix> prefixes;
+  int max_fetches = 1;
+  bool second_copies = false, cancelling = false, asks = false;
+  double most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double ask_within = 10000, probe_price = 0;
+
+  std::array<Bucket, buckets> window{};
+  double last_passed = -never;
+  std::vector<Be> bes;
+  std::vector<int> listed;
+  std::vector<int> candidates;
+  double last_answer = -never, slow_end = 0, warm_rate = 0;
+  double retries = retry_burst;
+  bool subscribed = false, asked = false;
+  double ask_at = 0, asked_at = 0, said = -never;
+  int failures = 0;
+  std::vector<std::string> lines;
+};
+
+Brain::Brain(const Settings& settings, std::uint64_t seed, double now)
+    : core_(std::make_unique<Core>(settings, seed, now)) {}
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+Brain::~Brain() = default;
+
+Answer Brain::where(Visit& v, double now) { return core_->where(v, now); }
+Answer Brain::after(Visit& v, const Report& rt, double now) { return core_->after(v, rt, now); }
+Patience Brain::wait(const Visit& v, double now) { return core_->wait(v, now); }
+
+Answer Brain::left(Visit& v, double) {
+  v.answered = true;
+  return {.cancel = core_->rest(v)};
+}
+
+Answer Brain::begun(Visit& v, int number, double) {
+  v.streaming = true;
+  return {.cancel = core_->rest(v) & ~(1u << number)};
+}
+
+void Brain::list(ListKind kind, std::span<const Entry> entries, double now) {
+  core_->list(kind, entries, now);
+}
+void Brain::probed(int, Status, const Gauge&, double) {}
+Chores Brain::tick(double now) { return core_->tick(now); }
+double Brain::tick_every() const { return tick_ms; }
+double Brain::drop(double now) const { return core_->drop(now); }
+
+}  // namespace meadow
--- /dev/null
+++ b/src/brain/brain.hpp
@@ -0,0 +1,128 @@
+// The interface of meadowgauge's decision module. No decisions here: they are all in brain.cpp.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace meadow {
+
+inline constexpr double never = std::numeric_limits<double>::infinity();
+inline constexpr int most_fetches = 8;  // a visit's fetches that are kept in hand
+
+// Names to values, as handed over at the start. The module picks what it needs.
+using Settings = std::map<std::string, std::string, std::less<>>;
+
+// How a backend fetch ended.
+enum class Status : std::uint8_t { delivered, error, full, timeout, unreachable, reset, cancelled, moot };
+
+enum class Standing : std::uint8_t { gone, ready, draining };
+
+// One line of the list of upstreams. `be` is a small index given by the caller, the same for a server's life.
+struct Entry {
+  int be = 0;
+  int zone = 0;
+  int sku = 0;
+  int pod = 0;
+  Standing standing = Standing::ready;
+  double weight = 0;
+  double up_since = 0;  // 0: long ago
+};
+
+enum class ListKind : std::uint8_t { delta, full, cached, failed };
+
+// A load report: values in the order of the setting report.columns.
+struct Gauge {
+  int n = 0;
+  std::array<float, 4> v{};
+};
+
+struct Fetch {
+  int be = -1;
+  double sent = 0;
+  Status status = Status::delivered;  // meaningful once `out` is false
+  bool out = false;
+  bool second = false;  // sent while another was out
+};
+
+// A visit in hand. The caller makes it at arrival and keeps it until it is answered and nothing is out; the
+// module writes all but the first block.
+struct Visit {
+  int prefix = 0;
+  int tenant = 0;
+  double arrived = 0;
+  double due = 0;  // the client stops waiting then
+  bool repeat = false;
+
+  std::array<Fetch, most_fetches> fetches{};
+  int sent = 0;
+  int out = 0;
+  bool admitted = false;
+  bool answered = false;
+  bool streaming = false;  // the answer has begun; the client owns it
+  bool extra = false;      // beyond its tenant's share
+};
+
+struct Report {
+  int number = 0;  // which of the visit's fetches
+  Status status = Status::delivered;
+  bool closed = false;  // the visit has its final answer
+  Gauge gauge;
+};
+
+// What to do with a visit now. `cancel` has a bit for each fetch to be called off.
+struct Answer {
+  enum Kind : std::uint8_t { nothing, fetch, later, bounce, error } kind = nothing;
+  int be = -1;
+  double retry_after = 0;
+  std::uint32_t cancel = 0;
+};
+
+// How long to wait: for the newest fetch, and until where() is asked again.
+struct Patience {
+  double limit = 0;
+  double again = never;
+};
+
+// Periodic work: what the caller is to send for this instance.
+struct Chores {
+  bool subscribe = false;
+  bool lookup = false;
+  std::vector<int> probe;
+  std::vector<std::string> lines;
+};
+
+class Brain {
+ public:
+  Brain(const Settings& settings, std::uint64_t seed, double now);
+  Brain(Brain&&) noexcept;
+  Brain& operator=(Brain&&) noexcept;
+  ~Brain();
+
+  // The three calls. where(): at arrival, and again whenever wait() said so.
+  Answer where(Visit& v, double now);
+  Answer after(Visit& v, const Report& rt, double now);
+  Patience wait(const Visit& v, double now);
+
+  // News.
+  Answer left(Visit& v, double now);               // the client is gone
+  Answer begun(Visit& v, int number, double now);  // a streamed answer has started
+  void list(ListKind kind, std::span<const Entry> entries, double now);
+  void probed(int be, Status status, const Gauge& gauge, double now);
+  Chores tick(double now);  // every tick_every() ms
+  [[nodiscard]] double tick_every() const;
+
+  // For on-call staff and tests: the standing drop fraction.
+  [[nodiscard]] double drop(double now) const;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core_;
+};
+
+}  // namespace meadow
