--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -23,6 +23,7 @@
 constexpr double k_floor = 1.1;
 constexpr double protection = 5;
 constexpr double trial_every_ms = 1000;
+constexpr double prompt_share = 0.5;  // of the target latency: a delivery that took longer is no accept
 
 // Sick servers.
 constexpr double evidence_ms = 5000;  // outcomes fade over this time
@@ -373,7 +374,7 @@
     be.waiting_since = now;
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
-    note(f, now);
+    note(f, now <= v.arrived + prompt_share * prefix(v).target, now);
     Answer a;
     if (was_answered) return a;
     if (v.answered) {
@@ -395,7 +396,7 @@
     return s != Status::cancelled && retries >= 1 && drop(now) <= 0;
   }
 
-  void note(const Fetch& f, double now) {
+  void note(const Fetch& f, bool prompt, double now) {
     if (f.status == Status::cancelled || f.status == Status::moot) return;
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
@@ -409,7 +410,7 @@
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
-    if (ok || !(sick || be.trial)) count(now, ok);
+    if (ok || !(sick || be.trial)) count(now, ok && prompt);
   }
 
   Patience wait(const Visit& v, double now) const {
