Treat a server as full to us when one more visit there would be answered too late

Cause: the throttle hears of a burst only after the queues have grown and jammed. Change: a server's time taken for each of our fetches it held, times one more, must fit a share of the target latency.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -35,6 +35,11 @@
 constexpr double silence_factor = 4;  // times the slow end of the tier's answers
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
+// Room: a server that holds so many of ours that one more would be answered too late is full to us.
+constexpr double room_share = 0.4;    // of the target latency, halved for each tier further down
+constexpr double room_gain = 0.1;     // weight of a new sample of time taken for each fetch held
+constexpr int room_least = 2;         // always allowed
+
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
@@ -71,6 +76,7 @@
   Standing standing = Standing::gone;
   double up_since = 0;
   int out = 0;
+  double each = 0;  // time taken for each of our fetches it held, faded
   bool fresh = true;         // no outcome yet since it was new or restarted
   double waiting_since = 0;  // last sign of life while something is out
   double good = 0, bad = 0, touched = 0;
@@ -110,6 +116,7 @@
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
+    stage = number("stage", 0);
     wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
@@ -241,6 +248,12 @@
     return !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
+  [[nodiscard]] bool room(const Be& be, double target) const {
+    if (be.out < room_least) return true;
+    double each = be.each > 0 ? be.each : tier_each;
+    return each * (be.out + 1) <= room_share * target * std::exp2(-stage);
+  }
+
   [[nodiscard]] bool cold(const Be& be, double now) const {
     return be.up_since > 0 && now - be.up_since < warm_ms;
   }
@@ -296,7 +309,7 @@
   int pick(const Visit& v, double now) {
     candidates.clear();
     double others = 0;
-    int known = 0, ready = 0;
+    int known = 0, ready = 0, crowded = 0;
     for (int i : listed) {
       auto& be = bes[i];
       if (be.standing != Standing::ready) continue;
@@ -306,13 +319,18 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
+      if (!room(be, prefix(v).target)) {
+        ++crowded;
+        continue;
+      }
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
     }
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
-    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
+    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
       candidates.clear();
       for (int i : listed)
-        if (permitted(v, i, now) && (!tried(v, i) || ready == 1)) candidates.push_back(i);
+        if (room(bes[i], prefix(v).target) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
+          candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
     double mean = known > 0 ? others / known : 0;
@@ -344,7 +362,7 @@
     auto& be = bes[i];
     if (cold(be, now)) be.tokens -= 1;
     if (be.out++ == 0) be.waiting_since = now;
-    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .out = true, .second = v.out > 0};
+    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = be.out, .out = true};
     ++v.out;
     return {.kind = Answer::fetch, .be = i};
   }
@@ -407,6 +425,9 @@
       double step = std::max(1.0, slow_end * 0.02);
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
+      double each = took / f.held;
+      be.each += (be.each > 0 ? room_gain : 1) * (each - be.each);
+      tier_each += (tier_each > 0 ? room_gain : 1) * (each - tier_each);
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
@@ -504,7 +525,7 @@
   std::vector<Prefix> prefixes;
   int max_fetches = 1;
   bool second_copies = false, cancelling = false, asks = false;
-  double most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double stage = 0, tier_each = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -46,8 +46,8 @@
   int be = -1;
   double sent = 0;
   Status status = Status::delivered;  // meaningful once `out` is false
+  int held = 0;  // the module's fetches at that server, this one among them
   bool out = false;
-  bool second = false;  // sent while another was out
 };
 
 // A visit in hand. The caller makes it at arrival and keeps it until it is answered and nothing is out; the
