--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -23,7 +23,7 @@
 constexpr double k_floor = 1.1;
 constexpr double protection = 5;
 constexpr double trial_every_ms = 1000;
-constexpr double prompt_share = 0.5;  // of the target latency: a delivery that took longer is no accept
+constexpr double prompt_share = 0.8;  // of the target latency: a delivery that took longer is no accept
 
 // Sick servers.
 constexpr double evidence_ms = 5000;  // outcomes fade over this time
@@ -36,9 +36,12 @@
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
 // Room: a server that holds so many of ours that one more would be answered too late is full to us.
-constexpr double room_share = 0.4;    // of the target latency, halved for each tier further down
-constexpr double room_gain = 0.1;     // weight of a new sample of time taken for each fetch held
-constexpr int room_least = 2;         // always allowed
+constexpr double room_share = 0.8;       // of the target latency, at most
+constexpr double room_times = 2.5;       // the tier's calm time
+constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
+constexpr double calm_gain = 0.04;
+constexpr double room_gain = 0.1;  // weight of a new sample of time taken for each fetch held
+constexpr int room_least = 2;      // always allowed
 
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
@@ -76,7 +79,7 @@
   Standing standing = Standing::gone;
   double up_since = 0;
   int out = 0;
-  double each = 0;  // time taken for each of our fetches it held, faded
+  double each = 0;           // time taken for each of our fetches it held, faded
   bool fresh = true;         // no outcome yet since it was new or restarted
   double waiting_since = 0;  // last sign of life while something is out
   double good = 0, bad = 0, touched = 0;
@@ -249,9 +252,9 @@
   }
 
   [[nodiscard]] bool room(const Be& be, double target) const {
-    if (be.out < room_least) return true;
+    if (be.out < room_least || calm == 0) return true;
     double each = be.each > 0 ? be.each : tier_each;
-    return each * (be.out + 1) <= room_share * target * std::exp2(-stage);
+    return each * (be.out + 1) <= std::min(room_share * target, room_times * calm);
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -326,7 +329,8 @@
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
     }
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
-    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
+    if (candidates.empty() ||
+        static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
       candidates.clear();
       for (int i : listed)
         if (room(bes[i], prefix(v).target) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
@@ -426,6 +430,7 @@
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
       double each = took / f.held;
+      mean_took += (mean_took > 0 ? calm_gain : 1) * (took - mean_took);
       be.each += (be.each > 0 ? room_gain : 1) * (each - be.each);
       tier_each += (tier_each > 0 ? room_gain : 1) * (each - tier_each);
     }
@@ -494,6 +499,8 @@
       asked = true;
       asked_at = now;
     }
+    if (mean_took > 0)
+      calm = calm == 0 || mean_took < calm ? mean_took : calm + (mean_took - calm) * tick_ms / calm_drift_ms;
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
@@ -525,7 +532,8 @@
   std::vector<Prefix> prefixes;
   int max_fetches = 1;
   bool second_copies = false, cancelling = false, asks = false;
-  double stage = 0, tier_each = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double stage = 0, mean_took = 0, calm = 0, tier_each = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
+         warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
