--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -39,7 +39,9 @@
 constexpr double room_share = 0.8;       // of the target latency, at most
 constexpr double room_times = 2.5;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
-constexpr double calm_gain = 0.04;
+constexpr double calm_gain = 0.02;
+constexpr int calm_after =
+    100;  // answers seen before the calm time means anything: the first are the quick ones
 constexpr double room_gain = 0.1;  // weight of a new sample of time taken for each fetch held
 constexpr int room_least = 2;      // always allowed
 
@@ -79,9 +81,9 @@
   Standing standing = Standing::gone;
   double up_since = 0;
   int out = 0;
-  double each = 0;           // time taken for each of our fetches it held, faded
-  bool fresh = true;         // no outcome yet since it was new or restarted
-  double waiting_since = 0;  // last sign of life while something is out
+  double took = 0, held = 0;  // mean time taken, mean number of our fetches it held then
+  bool fresh = true;          // no outcome yet since it was new or restarted
+  double waiting_since = 0;   // last sign of life while something is out
   double good = 0, bad = 0, touched = 0;
   double rate = 0;  // own deliveries, faded like the evidence
   double bench_until = 0, well_since = 0;
@@ -253,7 +255,7 @@
 
   [[nodiscard]] bool room(const Be& be, double target) const {
     if (be.out < room_least || calm == 0) return true;
-    double each = be.each > 0 ? be.each : tier_each;
+    double each = be.held > 0 ? be.took / be.held : mean_took / mean_held;
     return each * (be.out + 1) <= std::min(room_share * target, room_times * calm);
   }
 
@@ -418,6 +420,10 @@
     return s != Status::cancelled && retries >= 1 && drop(now) <= 0;
   }
 
+  static void blend(double& mean, double sample, double gain) {
+    mean += (mean > 0 ? gain : 1) * (sample - mean);
+  }
+
   void note(const Fetch& f, bool prompt, double now) {
     if (f.status == Status::cancelled || f.status == Status::moot) return;
     auto& be = bes[f.be];
@@ -429,10 +435,11 @@
       double step = std::max(1.0, slow_end * 0.02);
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
-      double each = took / f.held;
-      mean_took += (mean_took > 0 ? calm_gain : 1) * (took - mean_took);
-      be.each += (be.each > 0 ? room_gain : 1) * (each - be.each);
-      tier_each += (tier_each > 0 ? room_gain : 1) * (each - tier_each);
+      blend(mean_took, took, calm_gain);
+      blend(mean_held, f.held, calm_gain);
+      blend(be.took, took, room_gain);
+      blend(be.held, f.held, room_gain);
+      ++answers;
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
@@ -499,7 +506,7 @@
       asked = true;
       asked_at = now;
     }
-    if (mean_took > 0)
+    if (answers >= calm_after)
       calm = calm == 0 || mean_took < calm ? mean_took : calm + (mean_took - calm) * tick_ms / calm_drift_ms;
     double warm = 0;
     int n = 0;
@@ -532,7 +539,7 @@
   std::vector<Prefix> prefixes;
   int max_fetches = 1;
   bool second_copies = false, cancelling = false, asks = false;
-  double stage = 0, mean_took = 0, calm = 0, tier_each = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
+  double stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
          warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
@@ -545,7 +552,7 @@
   double retries = retry_burst;
   bool subscribed = false, asked = false;
   double ask_at = 0, asked_at = 0, said = -never;
-  int failures = 0;
+  int failures = 0, answers = 0;
   std::vector<std::string> lines;
 };
 
