Draw the pick by the listed weights

Cause: callers deep down nearly always find idle servers, so a uniform draw gives a half-speed server as much as a fast one and drowns it.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -79,7 +79,7 @@
 struct Be {
   int zone = 0, pod = 0;
   Standing standing = Standing::gone;
-  double up_since = 0;
+  double up_since = 0, weight = 1;
   int out = 0;
   double took = 0, held = 0;  // mean time taken, mean number of our fetches it held then
   bool fresh = true;          // no outcome yet since it was new or restarted
@@ -126,6 +126,7 @@
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
     overload_factor = number("rules.overload_factor", 2);
+    weighted = word("weights") != "off" && word("weights") != "live";
     asks = word("discovery") == "subscribe";
     ask_within = number("rules.ask_within_ms", 10000);
     ask_at = now + uniform() * ask_first_ms;
@@ -341,13 +342,21 @@
     }
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
-    int idle = 0, pick = -1;
+    double idle = 0, all = 0;
+    int pick = -1;
     for (int i : candidates)
-      if (held(i) < 0.5 && below(++idle) == 0) pick = i;
+      if (held(i) < 0.5 && uniform() * (idle += bes[i].weight) < bes[i].weight) pick = i;
     if (pick >= 0) return pick;
-    int a = candidates[below(static_cast<int>(candidates.size()))];
-    int b = candidates[below(static_cast<int>(candidates.size()))];
-    return held(b) < held(a) ? b : a;
+    for (int i : candidates) all += bes[i].weight;
+    int a = drawn(all), b = drawn(all);
+    return (held(b) + 1) * bes[a].weight < (held(a) + 1) * bes[b].weight ? b : a;
+  }
+
+  int drawn(double all) {
+    double left = uniform() * all;
+    for (int i : candidates)
+      if ((left -= bes[i].weight) <= 0) return i;
+    return candidates.back();
   }
 
   [[nodiscard]] static bool tried(const Visit& v, int i) {
@@ -483,6 +492,7 @@
       }
       be.zone = e.zone;
       be.pod = e.pod;
+      be.weight = weighted && e.weight > 0 ? e.weight : 1;
       be.up_since = std::max(be.up_since, e.up_since);
       be.standing = e.standing;
     }
@@ -538,7 +548,7 @@
   std::mt19937 rng;
   std::vector<Prefix> prefixes;
   int max_fetches = 1;
-  bool second_copies = false, cancelling = false, asks = false;
+  bool second_copies = false, cancelling = false, asks = false, weighted = false;
   double stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
          warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
