--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -325,7 +325,7 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
-      if (!room(be, prefix(v).target)) {
+      if (!room(be, prefix(v).target) && (stage == 0)) {
         ++crowded;
         continue;
       }
@@ -336,7 +336,7 @@
         static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
       candidates.clear();
       for (int i : listed)
-        if (room(bes[i], prefix(v).target) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
+        if ((stage > 0 || room(bes[i], prefix(v).target)) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
           candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
