--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -45,6 +45,12 @@
 constexpr double room_gain = 0.1;  // weight of a new sample of time taken for each fetch held
 constexpr int room_least = 2;      // always allowed
 
+// Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
+constexpr double spill_least = 0.03;
+constexpr double spill_up = 0.02;  // each tick
+constexpr double spill_down = 0.01;
+constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
+
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
@@ -127,6 +133,8 @@
     warm_ms = number("rules.warm_after_ms", 20000);
     overload_factor = number("rules.overload_factor", 2);
     weighted = word("weights") != "off" && word("weights") != "live";
+    zone = static_cast<int>(number("zone", 0));
+    crossing_costs = number("fees.cross_zone", 0) > 0;
     asks = word("discovery") == "subscribe";
     ask_within = number("rules.ask_within_ms", 10000);
     ask_at = now + uniform() * ask_first_ms;
@@ -336,10 +344,16 @@
         static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
       candidates.clear();
       for (int i : listed)
-        if ((stage > 0 || room(bes[i], prefix(v).target)) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
+        if ((stage > 0 || room(bes[i], prefix(v).target)) && permitted(v, i, now) &&
+            (!tried(v, i) || ready == 1))
           candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
+    if (crossing_costs && uniform() >= spill) {
+      auto far = std::stable_partition(candidates.begin(), candidates.end(),
+                                       [this](int i) { return bes[i].zone == zone; });
+      if (far != candidates.begin()) candidates.erase(far, candidates.end());
+    }
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
@@ -449,6 +463,7 @@
       blend(be.took, took, room_gain);
       blend(be.held, f.held, room_gain);
       ++answers;
+      if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
@@ -518,6 +533,9 @@
     }
     if (answers >= calm_after)
       calm = calm == 0 || mean_took < calm ? mean_took : calm + (mean_took - calm) * tick_ms / calm_drift_ms;
+    if (crossing_costs)
+      spill =
+          std::clamp(spill + (near_took > zone_slower * far_took ? spill_up : -spill_down), spill_least, 1.0);
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
@@ -548,7 +566,9 @@
   std::mt19937 rng;
   std::vector<Prefix> prefixes;
   int max_fetches = 1;
-  bool second_copies = false, cancelling = false, asks = false, weighted = false;
+  bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
+  int zone = 0;
+  double spill = spill_least, near_took = 0, far_took = 0;
   double stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
          warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
