Rest servers that are slower than their peers

Told apart from overload by the tier's other servers answering in time. Change: mean log of time taken over the path prefix's own, weights taken out; above it a server rests 4 s and doubling, at most a quarter of the tier.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -30,7 +30,12 @@
 constexpr double bad_margin = 0.12;   // failing share above thrice the others' that benches a server
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
-constexpr double forgiven_ms = 10000;  // well for this long: relapses are forgotten
+constexpr double forgiven_ms = 10000;   // well for this long: relapses are forgotten
+constexpr double slow_log = 0.8;        // mean log of time taken over its peers' that benches a server
+constexpr double slow_prior = 2;        // outcomes' worth of doubt in that mean
+constexpr double slow_bench_ms = 4000;  // a crowded server recovers only when it rests
+constexpr double slow_share = 0.25;     // of the ready servers, at most, are benched for being slow
+constexpr double slow_gain = 0.02;
 constexpr double silence_floor_ms = 400;
 constexpr double silence_factor = 4;  // times the slow end of the tier's answers
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
@@ -74,6 +79,7 @@
   Repeat repeat = Repeat::mutating;
   Group group = Group::cell;
   double ttl = 0;
+  double log_took = 0;  // mean log of time taken, weights taken out
   double target = 1000;
   double timeout = 5000;
 };
@@ -92,7 +98,8 @@
   bool fresh = true;          // no outcome yet since it was new or restarted
   double waiting_since = 0;   // last sign of life while something is out
   double good = 0, bad = 0, touched = 0;
-  double rate = 0;  // own deliveries, faded like the evidence
+  double slow = 0, seen = 0;  // sum of log excess, and of how many, faded
+  double rate = 0;            // own deliveries, faded like the evidence
   double bench_until = 0, well_since = 0;
   int relapses = 0;
   bool trial = false;  // back from the bench, one visit at a time
@@ -160,7 +167,7 @@
 
   double uniform() { return static_cast<double>(rng()) / 4294967296.0; }
   int below(int n) { return static_cast<int>(rng() % static_cast<std::uint32_t>(n)); }
-  const Prefix& prefix(const Visit& v) const {
+  Prefix& prefix(const Visit& v) {
     return prefixes[std::clamp(v.prefix, 0, static_cast<int>(prefixes.size()) - 1)];
   }
 
@@ -213,6 +220,8 @@
     double f = std::exp((be.touched - now) / evidence_ms);
     be.good *= f;
     be.bad *= f;
+    be.slow *= f;
+    be.seen *= f;
     be.touched = now;
   }
 
@@ -240,14 +249,30 @@
       }
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
-    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 3 * peers)) {
-      be.bench_until =
-          now + std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) * (0.8 + 0.4 * uniform());
-      be.relapses = std::min(be.relapses + 1, 8);
-      be.trial = true;
-      be.good = be.bad = 0;
-      if (be.relapses == 1) lines.push_back("benched a server that fails more than its peers");
-    }
+    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 3 * peers))
+      bench(be, bench_ms, "fails more", now);
+  }
+
+  void bench(Be& be, double ms, const char* why, double now) {
+    be.bench_until = now + std::min(bench_most_ms, ms * std::exp2(be.relapses)) * (0.8 + 0.4 * uniform());
+    be.relapses = std::min(be.relapses + 1, 8);
+    be.trial = true;
+    be.good = be.bad = be.slow = be.seen = 0;
+    if (be.relapses == 1) lines.push_back(std::string("benched a server that ") + why + " than its peers");
+  }
+
+  // A server much slower than its peers is rested: those that choked on a crowd only recover that way.
+  void judge_pace(Be& be, Prefix& p, double took, double now) {
+    double pace = std::log(std::max(1.0, took) * be.weight / mean_weight);
+    double excess = p.log_took > 0 ? pace - p.log_took : 0;
+    blend(p.log_took, pace, slow_gain);
+    be.slow += excess;
+    be.seen += 1;
+    if (be.bench_until > now || be.slow < slow_log * (be.seen + slow_prior)) return;
+    int resting = 0;
+    for (int i : listed) resting += benched(bes[i], now);
+    if (resting + 1 <= slow_share * static_cast<double>(listed.size()))
+      bench(be, slow_bench_ms, "is slower", now);
   }
 
   [[nodiscard]] bool benched(const Be& be, double now) const { return be.trial && be.bench_until > now; }
@@ -279,7 +304,7 @@
   }
 
   // --- Rules: every send passes permitted(), every own final answer passes finish() -----------------------
-  [[nodiscard]] bool permitted(const Visit& v, int i, double now) const {
+  bool permitted(const Visit& v, int i, double now) {
     const auto& be = bes[i];
     if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
     if (be.standing != Standing::ready) return false;
@@ -429,7 +454,7 @@
     be.waiting_since = now;
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
-    note(f, now <= v.arrived + prompt_share * prefix(v).target, now);
+    note(f, prefix(v), now <= v.arrived + prompt_share * prefix(v).target, now);
     Answer a;
     if (was_answered) return a;
     if (v.answered) {
@@ -455,7 +480,7 @@
     mean += (mean > 0 ? gain : 1) * (sample - mean);
   }
 
-  void note(const Fetch& f, bool prompt, double now) {
+  void note(const Fetch& f, Prefix& p, bool prompt, double now) {
     if (f.status == Status::cancelled || f.status == Status::moot) return;
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
@@ -476,6 +501,7 @@
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
+    if (ok) judge_pace(be, p, now - f.sent, now);
     if (ok || !(sick || be.trial)) count(now, ok && prompt);
   }
 
@@ -520,6 +546,9 @@
       be.up_since = std::max(be.up_since, e.up_since);
       be.standing = e.standing;
     }
+    double sum = 0;
+    for (int i : listed) sum += bes[i].weight;
+    mean_weight = listed.empty() ? 1 : sum / static_cast<double>(listed.size());
     std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
   }
 
@@ -578,8 +607,8 @@
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
   double spill = spill_least, near_took = 0, far_took = 0;
-  double stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
-         warm_ms = 20000, overload_factor = 2;
+  double mean_weight = 1, stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5,
+         cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
