--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -59,6 +59,8 @@
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
+constexpr double copy_after = 1.0;  // times the slow end of the tier's answers: then a second copy goes
+constexpr double copy_least_ms = 50;
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 
 // Cold servers.
@@ -436,8 +438,12 @@
       v.admitted = true;
       retries = std::min(retry_burst, retries + retry_share);
       if (throttled(now)) return finish(v, now);
-    } else if (v.out > 0) {
-      return {};
+    } else if (v.out > 0) {  // one is out for longer than nearly all: try another server beside it
+      if (!copies(v) || !again(Status::timeout, now)) return {};
+      int i = pick(v, now);
+      if (i < 0) return {};
+      retries -= 1;
+      return send(v, i, now);
     }
     int i = pick(v, now);
     return i >= 0 ? send(v, i, now) : finish(v, now);
@@ -505,12 +511,17 @@
     if (ok || !(sick || be.trial)) count(now, ok && prompt);
   }
 
-  Patience wait(const Visit& v, double now) const {
+  Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
+    if (copies(v) && v.out == v.sent) p.again = std::max(copy_least_ms, copy_after * slow_end) * v.sent;
     return p;
   }
 
+  [[nodiscard]] bool copies(const Visit& v) {
+    return second_copies && slow_end > 0 && v.sent < 2 && prefix(v).repeat != Repeat::mutating;
+  }
+
   // --- News -----------------------------------------------------------------------------------------------
   void list(ListKind kind, std::span<const Entry> entries, double now) {
     if (kind == ListKind::failed) {
