--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -59,7 +59,7 @@
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
-constexpr double copy_after = 1.0;  // times the slow end of the tier's answers: then a second copy goes
+constexpr double copy_after = 3.0;  // times the slow end of the tier's answers: then a second copy goes
 constexpr double copy_least_ms = 50;
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 
