--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -59,7 +59,8 @@
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
-constexpr double copy_after = 3.0;  // times the slow end of the tier's answers: then a second copy goes
+constexpr double copy_after =
+    1.5;  // times the slow end of the tier's answers: then a sick server's visit is copied
 constexpr double copy_least_ms = 50;
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 
@@ -438,10 +439,15 @@
       v.admitted = true;
       retries = std::min(retry_burst, retries + retry_share);
       if (throttled(now)) return finish(v, now);
-    } else if (v.out > 0) {  // one is out for longer than nearly all: try another server beside it
-      if (!copies(v) || !again(Status::timeout, now)) return {};
+    } else if (v.out > 0) {
+      // A visit that takes long mostly is much work, which a copy would do twice; only one whose server has
+      // come to look sick since is sent elsewhere beside it.
+      const auto& be = bes[v.fetches[v.sent - 1].be];
+      if (!copies(v)) return {};
+      if (!(benched(be, now) || silent(be, now)) || !again(Status::timeout, now))
+        return {.kind = Answer::later};
       int i = pick(v, now);
-      if (i < 0) return {};
+      if (i < 0) return {.kind = Answer::later};
       retries -= 1;
       return send(v, i, now);
     }
