--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -45,6 +45,7 @@
 constexpr double room_times = 1.8;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.02;
+constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
 constexpr double room_gain = 0.1;  // weight of a new sample of time taken for each fetch held
@@ -371,6 +372,7 @@
       if (cold(be, now)) refill(be, now);
       if (!room(be, prefix(v).target) && (stage == 0)) {
         ++crowded;
+        no_room_at = now;
         continue;
       }
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
@@ -586,8 +588,13 @@
       asked = true;
       asked_at = now;
     }
-    if (answers >= calm_after)
-      calm = calm == 0 || mean_took < calm ? mean_took : calm + (mean_took - calm) * tick_ms / calm_drift_ms;
+    if (answers >= calm_after) {
+      // Under a load that the bound holds back, slower is not calmer: the calm time stays where it was.
+      if (calm == 0 || mean_took < calm)
+        calm = mean_took;
+      else if (now - no_room_at > calm_hold_ms)
+        calm += (mean_took - calm) * tick_ms / calm_drift_ms;
+    }
     if (crossing_costs)
       spill =
           std::clamp(spill + (near_took > zone_slower * far_took ? spill_up : -spill_down), spill_least, 1.0);
@@ -633,7 +640,7 @@
   std::vector<Be> bes;
   std::vector<int> listed;
   std::vector<int> candidates;
-  double last_answer = -never, slow_end = 0, warm_rate = 0;
+  double last_answer = -never, no_room_at = -never, slow_end = 0, warm_rate = 0;
   double retries = retry_burst;
   bool subscribed = false, asked = false;
   double ask_at = 0, asked_at = 0, said = -never;
