--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -48,8 +48,9 @@
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_gain = 0.1;  // weight of a new sample of time taken for each fetch held
-constexpr int room_least = 2;      // always allowed
+constexpr double room_gain = 0.1;    // weight of a new sample of time taken for each fetch held
+constexpr double room_unknown = 12;  // of all instances, while the calm time is not known
+constexpr int room_least = 2;        // always allowed
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
@@ -140,6 +141,7 @@
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
     stage = number("stage", 0);
+    replicas = std::max(1.0, number("replicas_of_me", 1));
     wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
@@ -293,7 +295,8 @@
   }
 
   [[nodiscard]] bool room(const Be& be, double target) const {
-    if (be.out < room_least || calm == 0) return true;
+    if (be.out < room_least) return true;
+    if (calm == 0) return be.out < room_unknown / replicas;
     double each = be.held > 0 ? be.took / be.held : mean_took / mean_held;
     return each * (be.out + 1) <= std::min(room_share * target, room_times * calm);
   }
@@ -631,8 +634,8 @@
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
   double spill = spill_least, near_took = 0, far_took = 0;
-  double mean_weight = 1, stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0, wire_tick = 5,
-         cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double mean_weight = 1, replicas = 1, stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0,
+         wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
