--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -42,7 +42,7 @@
 
 // Room: a server that holds so many of ours that one more would be answered too late is full to us.
 constexpr double room_share = 0.8;       // of the target latency, at most
-constexpr double room_times = 1.8;       // the tier's calm time
+constexpr double room_times = 1.5;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.02;
 constexpr double calm_hold_ms = 5000;
