--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -44,7 +44,7 @@
 constexpr double room_share = 0.8;       // of the target latency, at most
 constexpr double room_times = 1.5;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
-constexpr double calm_gain = 0.02;
+constexpr double calm_gain = 0.008;
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
