--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -509,12 +509,14 @@
       double step = std::max(1.0, slow_end * 0.02);
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
-      double gain = std::max(calm_gain, 1.0 / (answers + 1));
-      blend(mean_took, took, gain);
-      blend(mean_held, f.held, gain);
+      // What ends early on was quick, for the long ones are still out: such times say nothing yet.
+      if (now - started > p.target) {
+        double gain = std::max(calm_gain, 1.0 / ++answers);
+        blend(mean_took, took, gain);
+        blend(mean_held, f.held, gain);
+      }
       blend(be.took, took, room_gain);
       blend(be.held, f.held, room_gain);
-      ++answers;
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
     bool sick = be.trial;
