--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -41,7 +41,7 @@
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
 // Room: a server that holds so many of ours that one more would be answered too late is full to us.
-constexpr double room_share = 0.8;       // of the target latency, at most
+constexpr double room_share = 0.6;       // of the target latency, at most
 constexpr double room_times = 1.5;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
@@ -49,7 +49,7 @@
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
 constexpr double room_gain = 0.1;    // weight of a new sample of time taken for each fetch held
-constexpr double room_unknown = 12;  // of all instances, while the calm time is not known
+constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
 constexpr int room_least = 2;        // always allowed
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
