Visits beyond a tenant's share have half the room and draw twice

Cause: a tenant in excess fills the servers for all. A visit is beyond its share only if over this instance's part of the quota and of what arrives.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -48,9 +48,9 @@
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_gain = 0.1;    // weight of a new sample of time taken for each fetch held
+constexpr double room_gain = 0.1;   // weight of a new sample of time taken for each fetch held
 constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
-constexpr int room_least = 2;        // always allowed
+constexpr int room_least = 2;       // always allowed
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
@@ -58,6 +58,12 @@
 constexpr double spill_down = 0.01;
 constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
 
+// Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
+// little.
+constexpr double extra_room = 0.5;  // of the room others have
+constexpr double quota_burst_ms = 1000;
+constexpr double part_burst = 10;  // visits
+
 // Repeats.
 constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
@@ -89,6 +95,11 @@
   double timeout = 5000;
 };
 
+struct Tenant {
+  double share = 1, quota = 0;  // quota: this instance's part, a ms
+  double part_left = part_burst, quota_left = 0, at = 0;
+};
+
 struct Bucket {
   std::int64_t slot = -1;
   int total = 0, accepts = 0, failures = 0;
@@ -135,13 +146,21 @@
       p.timeout = number(at + "client_timeout_ms", 5 * p.target);
       prefixes.push_back(p);
     }
+    replicas = std::max(1.0, number("replicas_of_me", 1));
+    for (int i = 0; i < static_cast<int>(number("tenants.count", 0)); ++i) {
+      auto at = "tenants." + std::to_string(i) + ".";
+      Tenant t{.share = number(at + "share", 1),
+               .quota = number(at + "quota_rps", 0) / 1000 / replicas,
+               .at = now};
+      t.quota_left = t.quota * quota_burst_ms;
+      tenants.push_back(t);
+    }
     if (prefixes.empty()) prefixes.emplace_back();
     max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
     stage = number("stage", 0);
-    replicas = std::max(1.0, number("replicas_of_me", 1));
     wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
@@ -210,10 +229,23 @@
     return (total - protection - w * accepts) / (total + 1) * (buckets - working) / buckets;
   }
 
+  // Marks a visit that its tenant sends beyond its quota and beyond its part of what arrives here.
+  void tally(Visit& v, double now) {
+    if (v.tenant < 0 || v.tenant >= static_cast<int>(tenants.size())) return;
+    for (auto& t : tenants) t.part_left = std::min(part_burst, t.part_left + t.share);
+    auto& t = tenants[v.tenant];
+    t.quota_left = std::min(t.quota * quota_burst_ms, t.quota_left + t.quota * (now - t.at));
+    t.at = now;
+    t.part_left = std::max(-part_burst, t.part_left - 1);
+    bool over = t.quota > 0 && t.quota_left < 1;
+    if (!over) t.quota_left -= 1;
+    v.extra = over && t.part_left < 0;
+  }
+
   // True: this visit is refused at its arrival.
-  bool throttled(double now) {
+  bool throttled(const Visit& v, double now) {
     double d = drop(now);
-    if (d > 0 && now - last_passed < trial_every_ms && uniform() < d) {
+    if (d > 0 && now - last_passed < trial_every_ms && (uniform() < d || (v.extra && uniform() < d))) {
       ++bucket(now).total;
       return true;
     }
@@ -294,11 +326,12 @@
     return !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
-  [[nodiscard]] bool room(const Be& be, double target) const {
+  bool room(const Be& be, const Visit& v) {
+    double part = v.extra ? extra_room : 1;
     if (be.out < room_least) return true;
-    if (calm == 0) return be.out < room_unknown / replicas;
+    if (calm == 0) return be.out < part * room_unknown / replicas;
     double each = be.held > 0 ? be.took / be.held : mean_took / mean_held;
-    return each * (be.out + 1) <= std::min(room_share * target, room_times * calm);
+    return each * (be.out + 1) <= part * std::min(room_share * prefix(v).target, room_times * calm);
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -373,7 +406,7 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
-      if (!room(be, prefix(v).target) && (stage == 0)) {
+      if (!room(be, v) && (stage == 0)) {
         ++crowded;
         no_room_at = now;
         continue;
@@ -385,8 +418,7 @@
         static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
       candidates.clear();
       for (int i : listed)
-        if ((stage > 0 || room(bes[i], prefix(v).target)) && permitted(v, i, now) &&
-            (!tried(v, i) || ready == 1))
+        if ((stage > 0 || room(bes[i], v)) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
           candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
@@ -443,7 +475,8 @@
     if (!v.admitted) {
       v.admitted = true;
       retries = std::min(retry_burst, retries + retry_share);
-      if (throttled(now)) return finish(v, now);
+      tally(v, now);
+      if (throttled(v, now)) return finish(v, now);
     } else if (v.out > 0) {
       // A visit that takes long mostly is much work, which a copy would do twice; only one whose server has
       // come to look sick since is sent elsewhere beside it.
@@ -633,6 +666,7 @@
   double started;
   std::mt19937 rng;
   std::vector<Prefix> prefixes;
+  std::vector<Tenant> tenants;
   int max_fetches = 1;
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
