--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -91,7 +91,7 @@
   Group group = Group::cell;
   double ttl = 0;
   double log_took = 0;  // mean log of time taken, weights taken out
-  double target = 1000, overdue = 0;
+  double target = 1000;
   double timeout = 5000;
 };
 
@@ -143,7 +143,6 @@
       p.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
       p.ttl = number(at + "key_ttl_ms", 0);
       p.target = number(at + "target_latency_ms", 1000);
-      p.overdue = number(at + "overdue_earnings", 0);
       p.timeout = number(at + "client_timeout_ms", 5 * p.target);
       prefixes.push_back(p);
     }
@@ -561,10 +560,9 @@
 
   Patience wait(const Visit& v, double now) {
     Patience p;
-    // Below the first tier the time left is often not handed on, and where a late answer earns nothing it is
-    // not worth its server's time either: nobody waits there past the target latency.
-    const auto& rules = prefix(v);
-    double end = stage > 0 || rules.overdue <= 0 ? std::min(v.due, v.arrived + rules.target) : v.due;
+    // Below the first tier the time left is often not handed on: past the target latency nobody waits up
+    // there.
+    double end = stage > 0 ? std::min(v.due, v.arrived + prefix(v).target) : v.due;
     p.limit = std::max(wire_tick, end - now - 2 * wire_tick);
     if (copies(v) && v.out == v.sent) p.again = std::max(copy_least_ms, copy_after * slow_end) * v.sent;
     return p;
