--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -65,7 +65,7 @@
 constexpr double part_burst = 10;  // visits
 
 // Repeats.
-constexpr double retry_share = 0.15;  // fetches beyond the first, per visit
+constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
 constexpr double copy_after =
     1.5;  // times the slow end of the tier's answers: then a sick server's visit is copied
@@ -560,10 +560,7 @@
 
   Patience wait(const Visit& v, double now) {
     Patience p;
-    // Below the first tier the time left is often not handed on: past the target latency nobody waits up
-    // there.
-    double end = stage > 0 ? std::min(v.due, v.arrived + prefix(v).target) : v.due;
-    p.limit = std::max(wire_tick, end - now - 2 * wire_tick);
+    p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
     if (copies(v) && v.out == v.sent) p.again = std::max(copy_least_ms, copy_after * slow_end) * v.sent;
     return p;
   }
