--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -432,17 +432,22 @@
     double idle = 0, all = 0;
     int pick = -1;
     for (int i : candidates)
-      if (held(i) < 0.5 && uniform() * (idle += bes[i].weight) < bes[i].weight) pick = i;
+      if (held(i) < 0.5 && uniform() * (idle += pull(bes[i])) < pull(bes[i])) pick = i;
     if (pick >= 0) return pick;
-    for (int i : candidates) all += bes[i].weight;
+    for (int i : candidates) all += pull(bes[i]);
     int a = drawn(all), b = drawn(all);
-    return (held(b) + 1) * bes[a].weight < (held(a) + 1) * bes[b].weight ? b : a;
+    return (held(b) + 1) * pull(bes[a]) < (held(a) + 1) * pull(bes[b]) ? b : a;
+  }
+
+  // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
+  [[nodiscard]] static double pull(const Be& be) {
+    return be.weight * std::exp(-be.slow / (be.seen + slow_prior));
   }
 
   int drawn(double all) {
     double left = uniform() * all;
     for (int i : candidates)
-      if ((left -= bes[i].weight) <= 0) return i;
+      if ((left -= pull(bes[i])) <= 0) return i;
     return candidates.back();
   }
 
