Try: room for each server with the root of the usual number on top

Chance on a single server is as large as a crowd; the tier's sum tells them apart better, which is next.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -42,13 +42,14 @@
 
 // Room: a server that holds so many of ours that one more would be answered too late is full to us.
 constexpr double room_share = 0.6;       // of the target latency, at most
-constexpr double room_times = 1.5;       // the tier's calm time
+constexpr double room_times = 1.25;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
 constexpr double room_gain = 0.1;   // weight of a new sample of time taken for each fetch held
+constexpr double room_chance = 1;   // roots of the usual number
 constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
 constexpr int room_least = 2;       // always allowed
 
@@ -330,8 +331,10 @@
     double part = v.extra ? extra_room : 1;
     if (be.out < room_least) return true;
     if (calm == 0) return be.out < part * room_unknown / replicas;
-    double each = be.held > 0 ? be.took / be.held : mean_took / mean_held;
-    return each * (be.out + 1) <= part * std::min(room_share * prefix(v).target, room_times * calm);
+    double took = be.held > 0 ? be.took : mean_took, usual = be.held > 0 ? be.held : mean_held;
+    double bound = std::min(room_share * prefix(v).target, room_times * calm);
+    // The root is what chance alone puts on top of the usual number.
+    return be.out + 1 <= part * (usual * bound / took + room_chance * std::sqrt(usual));
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
