--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -40,7 +40,7 @@
 constexpr double silence_factor = 4;  // times the slow end of the tier's answers
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
-// Room: a server that holds so many of ours that one more would be answered too late is full to us.
+// Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
 constexpr double room_share = 0.6;       // of the target latency, at most
 constexpr double room_times = 1.25;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
@@ -48,10 +48,8 @@
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_gain = 0.1;   // weight of a new sample of time taken for each fetch held
 constexpr double room_chance = 1;   // roots of the usual number
 constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
-constexpr int room_least = 2;       // always allowed
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
@@ -111,9 +109,8 @@
   Standing standing = Standing::gone;
   double up_since = 0, weight = 1;
   int out = 0;
-  double took = 0, held = 0;  // mean time taken, mean number of our fetches it held then
-  bool fresh = true;          // no outcome yet since it was new or restarted
-  double waiting_since = 0;   // last sign of life while something is out
+  bool fresh = true;         // no outcome yet since it was new or restarted
+  double waiting_since = 0;  // last sign of life while something is out
   double good = 0, bad = 0, touched = 0;
   double slow = 0, seen = 0;  // sum of log excess, and of how many, faded
   double rate = 0;            // own deliveries, faded like the evidence
@@ -327,14 +324,14 @@
     return !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
-  bool room(const Be& be, const Visit& v) {
+  // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
+  // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
+  bool room(const Visit& v, double ready) {
     double part = v.extra ? extra_room : 1;
-    if (be.out < room_least) return true;
-    if (calm == 0) return be.out < part * room_unknown / replicas;
-    double took = be.held > 0 ? be.took : mean_took, usual = be.held > 0 ? be.held : mean_held;
+    if (out_all < ready * part) return true;
+    if (calm == 0) return out_all < ready * part * std::max(1.0, room_unknown / replicas);
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    // The root is what chance alone puts on top of the usual number.
-    return be.out + 1 <= part * (usual * bound / took + room_chance * std::sqrt(usual));
+    return out_all + 1 <= part * (mean_held * bound / mean_took + room_chance * std::sqrt(mean_held));
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -397,7 +394,7 @@
   int pick(const Visit& v, double now) {
     candidates.clear();
     double others = 0;
-    int known = 0, ready = 0, crowded = 0;
+    int known = 0, ready = 0;
     warm_ready = 0;
     for (int i : listed) warm_ready += bes[i].standing == Standing::ready && !cold(bes[i], now);
     for (int i : listed) {
@@ -409,20 +406,17 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
-      if (!room(be, v) && (stage == 0)) {
-        ++crowded;
-        no_room_at = now;
-        continue;
-      }
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
     }
+    if (stage == 0 && v.sent == 0 && !room(v, ready)) {
+      no_room_at = now;
+      return -1;
+    }
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
-    if (candidates.empty() ||
-        static_cast<double>(candidates.size()) < panic_share * (ready - crowded - v.sent)) {
+    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
       candidates.clear();
       for (int i : listed)
-        if ((stage > 0 || room(bes[i], v)) && permitted(v, i, now) && (!tried(v, i) || ready == 1))
-          candidates.push_back(i);
+        if (permitted(v, i, now) && (!tried(v, i) || ready == 1)) candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
     if (crossing_costs && uniform() >= spill) {
@@ -472,8 +466,9 @@
     auto& be = bes[i];
     if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
     if (be.out++ == 0) be.waiting_since = now;
-    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = be.out, .out = true};
+    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
+    ++out_all;
     return {.kind = Answer::fetch, .be = i};
   }
 
@@ -508,6 +503,7 @@
     f.out = false;
     f.status = rt.status;
     --v.out;
+    --out_all;
     be.out = std::max(0, be.out - 1);
     be.waiting_since = now;
     bool was_answered = v.answered;
@@ -556,8 +552,6 @@
         blend(mean_took, took, gain);
         blend(mean_held, f.held, gain);
       }
-      blend(be.took, took, room_gain);
-      blend(be.held, f.held, room_gain);
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
     bool sick = be.trial;
@@ -692,7 +686,7 @@
   double retries = retry_burst;
   bool subscribed = false, asked = false;
   double ask_at = 0, asked_at = 0, said = -never;
-  int failures = 0, answers = 0, warm_ready = 0;
+  int failures = 0, answers = 0, warm_ready = 0, out_all = 0;
   std::vector<std::string> lines;
 };
 
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -46,7 +46,7 @@
   int be = -1;
   double sent = 0;
   Status status = Status::delivered;  // meaningful once `out` is false
-  int held = 0;  // the module's fetches at that server, this one among them
+  int held = 0;                       // the module's fetches out, this one among them
   bool out = false;
 };
 
