--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -48,7 +48,9 @@
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_chance = 1;   // roots of the usual number
+constexpr double room_chance = 1;  // roots of the usual number
+constexpr double room_floor =
+    4;  // visits a server, of all instances, that are no crowd however slow they are
 constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
@@ -328,8 +330,8 @@
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
     double part = v.extra ? extra_room : 1;
-    if (out_all < ready * part) return true;
-    if (calm == 0) return out_all < ready * part * std::max(1.0, room_unknown / replicas);
+    if (out_all < ready * part * (calm == 0 ? room_unknown : room_floor) / replicas) return true;
+    if (calm == 0) return false;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     return out_all + 1 <= part * (mean_held * bound / mean_took + room_chance * std::sqrt(mean_held));
   }
