--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -51,7 +51,7 @@
 constexpr double room_chance = 1;  // roots of the usual number
 constexpr double room_floor =
     4;  // visits a server, of all instances, that are no crowd however slow they are
-constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
+constexpr double room_unknown = 4;  // of all instances, while the calm time is not known
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
