--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -41,8 +41,8 @@
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
-constexpr double room_share = 0.9;       // of the target latency, at most
-constexpr double room_times = 2;      // the tier's calm time
+constexpr double room_share = 0.75;       // of the target latency, at most
+constexpr double room_times = 1.5;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
 constexpr double calm_hold_ms = 5000;
