--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -41,10 +41,11 @@
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
-constexpr double room_share = 0.75;       // of the target latency, at most
-constexpr double room_times = 1.5;      // the tier's calm time
+constexpr double room_share = 0.75;      // of the target latency, at most
+constexpr double room_times = 1.5;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
+constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
@@ -333,7 +334,7 @@
     if (out_all < ready * part * (calm == 0 ? room_unknown : room_floor) / replicas) return true;
     if (calm == 0) return false;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    return out_all + 1 <= part * (mean_held * bound / mean_took + room_chance * std::sqrt(mean_held));
+    return out_all + 1 <= part * (late_held * bound / late_took + room_chance * std::sqrt(late_held));
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -552,7 +553,8 @@
       if (now - started > p.target) {
         double gain = std::max(calm_gain, 1.0 / ++answers);
         blend(mean_took, took, gain);
-        blend(mean_held, f.held, gain);
+        blend(late_took, took, std::max(room_gain, gain));
+        blend(late_held, f.held, std::max(room_gain, gain));
       }
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
@@ -675,8 +677,8 @@
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
   double spill = spill_least, near_took = 0, far_took = 0;
-  double mean_weight = 1, replicas = 1, stage = 0, mean_took = 0, calm = 0, mean_held = 0, most_advice = 0,
-         wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double mean_weight = 1, replicas = 1, stage = 0, mean_took = 0, calm = 0, late_held = 0, late_took = 0,
+         most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
