--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -49,10 +49,10 @@
 constexpr double calm_hold_ms = 5000;
 constexpr int calm_after =
     100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_chance = 1;  // roots of the usual number
+constexpr double room_chance = 2;  // roots of the usual number
 constexpr double room_floor =
     4;  // visits a server, of all instances, that are no crowd however slow they are
-constexpr double room_unknown = 4;  // of all instances, while the calm time is not known
+constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
