--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -47,12 +47,10 @@
 constexpr double calm_gain = 0.008;
 constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
 constexpr double calm_hold_ms = 5000;
-constexpr int calm_after =
-    100;  // answers seen before the calm time means anything: the first are the quick ones
-constexpr double room_chance = 2;  // roots of the usual number
-constexpr double room_floor =
-    4;  // visits a server, of all instances, that are no crowd however slow they are
-constexpr double room_unknown = 8;  // of all instances, while the calm time is not known
+constexpr int calm_after = 40;     // answers before the calm time means anything
+constexpr double room_chance = 1;  // roots of the usual number
+// Visits a server and tier from there down, of all instances, that are no crowd.
+constexpr double room_floor = 2;
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
@@ -69,8 +67,7 @@
 // Repeats.
 constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
-constexpr double copy_after =
-    1.5;  // times the slow end of the tier's answers: then a sick server's visit is copied
+constexpr double copy_after = 1.5;  // times the slow end of the answers, for a sick server's visits
 constexpr double copy_least_ms = 50;
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 
@@ -162,6 +159,8 @@
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
     stage = number("stage", 0);
+    auto names = word("stages");
+    tiers = 1 + static_cast<double>(std::count(names.begin(), names.end(), ',')) - stage;
     wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
@@ -331,7 +330,8 @@
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
     double part = v.extra ? extra_room : 1;
-    if (out_all < ready * part * (calm == 0 ? room_unknown : room_floor) / replicas) return true;
+    // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
+    if (out_all < ready * part * room_floor * tiers / replicas) return true;
     if (calm == 0) return false;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     return out_all + 1 <= part * (late_held * bound / late_took + room_chance * std::sqrt(late_held));
@@ -677,8 +677,9 @@
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
   double spill = spill_least, near_took = 0, far_took = 0;
-  double mean_weight = 1, replicas = 1, stage = 0, mean_took = 0, calm = 0, late_held = 0, late_took = 0,
-         most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000, overload_factor = 2;
+  double mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0, late_held = 0,
+         late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
+         overload_factor = 2;
   double ask_within = 10000, probe_price = 0;
 
   std::array<Bucket, buckets> window{};
