--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -42,13 +42,13 @@
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
 constexpr double room_share = 0.75;      // of the target latency, at most
-constexpr double room_times = 1.5;       // the tier's calm time
+constexpr double room_times = 1.4;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
 constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
-constexpr double calm_hold_ms = 5000;
-constexpr int calm_after = 40;     // answers before the calm time means anything
-constexpr double room_chance = 1;  // roots of the usual number
+constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
+constexpr int calm_after = 40;      // answers before the calm time means anything
+constexpr double room_chance = 1.4;   // roots of the usual number
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
@@ -412,9 +412,10 @@
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
     }
     if (stage == 0 && v.sent == 0 && !room(v, ready)) {
-      no_room_at = now;
+      turned_away += calm_gain * (1 - turned_away);
       return -1;
     }
+    if (stage == 0 && v.sent == 0) turned_away -= calm_gain * turned_away;
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
     if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
       candidates.clear();
@@ -637,7 +638,7 @@
       // Under a load that the bound holds back, slower is not calmer: the calm time stays where it was.
       if (calm == 0 || mean_took < calm)
         calm = mean_took;
-      else if (now - no_room_at > calm_hold_ms)
+      else if (turned_away < calm_hold)
         calm += (mean_took - calm) * tick_ms / calm_drift_ms;
     }
     if (crossing_costs)
@@ -687,7 +688,7 @@
   std::vector<Be> bes;
   std::vector<int> listed;
   std::vector<int> candidates;
-  double last_answer = -never, no_room_at = -never, slow_end = 0, warm_rate = 0;
+  double last_answer = -never, turned_away = 0, slow_end = 0, warm_rate = 0;
   double retries = retry_burst;
   bool subscribed = false, asked = false;
   double ask_at = 0, asked_at = 0, said = -never;
