--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -42,13 +42,13 @@
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
 constexpr double room_share = 0.75;      // of the target latency, at most
-constexpr double room_times = 1.4;       // the tier's calm time
+constexpr double room_times = 1.35;       // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
 constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
 constexpr int calm_after = 40;      // answers before the calm time means anything
-constexpr double room_chance = 1.4;   // roots of the usual number
+constexpr double room_chance = 1.2;   // roots of the usual number
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
