--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -27,7 +27,7 @@
 
 // Sick servers.
 constexpr double evidence_ms = 5000;  // outcomes fade over this time
-constexpr double bad_margin = 0.12;   // failing share above thrice the others' that benches a server
+constexpr double bad_margin = 0.12;   // failing share above half again the others' that benches a server
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
 constexpr double forgiven_ms = 10000;   // well for this long: relapses are forgotten
@@ -287,7 +287,7 @@
       }
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
-    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 3 * peers))
+    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 1.5 * peers))
       bench(be, bench_ms, "fails more", now);
   }
 
