--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -47,7 +47,7 @@
 constexpr double calm_gain = 0.008;
 constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
-constexpr int calm_after = 40;      // answers before the calm time means anything
+constexpr int calm_after = 20;      // answers before the calm time means anything
 constexpr double room_chance = 1.2;   // roots of the usual number
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
