--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -27,7 +27,8 @@
 
 // Sick servers.
 constexpr double evidence_ms = 5000;  // outcomes fade over this time
-constexpr double bad_margin = 0.12;   // failing share above half again the others' that benches a server
+constexpr double bad_margin = 0.12;   // a server is benched whose failing share is above this
+constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
 constexpr double forgiven_ms = 10000;   // well for this long: relapses are forgotten
@@ -42,13 +43,13 @@
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
 constexpr double room_share = 0.75;      // of the target latency, at most
-constexpr double room_times = 1.35;       // the tier's calm time
+constexpr double room_times = 1.35;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008;
-constexpr double room_gain = 0.04;  // of the latest times and numbers: they follow the load
+constexpr double room_gain = 0.04;   // of the latest times and numbers: they follow the load
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
-constexpr int calm_after = 20;      // answers before the calm time means anything
-constexpr double room_chance = 1.2;   // roots of the usual number
+constexpr int calm_after = 20;       // answers before the calm time means anything
+constexpr double room_chance = 1.2;  // roots of the usual number
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
@@ -91,7 +92,6 @@
   double ttl = 0;
   double log_took = 0;  // mean log of time taken, weights taken out
   double target = 1000;
-  double timeout = 5000;
 };
 
 struct Tenant {
@@ -141,7 +141,6 @@
       p.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
       p.ttl = number(at + "key_ttl_ms", 0);
       p.target = number(at + "target_latency_ms", 1000);
-      p.timeout = number(at + "client_timeout_ms", 5 * p.target);
       prefixes.push_back(p);
     }
     replicas = std::max(1.0, number("replicas_of_me", 1));
@@ -171,7 +170,6 @@
     asks = word("discovery") == "subscribe";
     ask_within = number("rules.ask_within_ms", 10000);
     ask_at = now + uniform() * ask_first_ms;
-    probe_price = number("fees.probe", 0);
   }
 
   // --- Settings -------------------------------------------------------------------------------------------
@@ -191,14 +189,17 @@
   }
 
   double uniform() { return static_cast<double>(rng()) / 4294967296.0; }
-  int below(int n) { return static_cast<int>(rng() % static_cast<std::uint32_t>(n)); }
   Prefix& prefix(const Visit& v) {
     return prefixes[std::clamp(v.prefix, 0, static_cast<int>(prefixes.size()) - 1)];
   }
 
   // --- The throttle ---------------------------------------------------------------------------------------
+  [[nodiscard]] std::int64_t slot_at(double now) const {
+    return static_cast<std::int64_t>(std::floor(std::max(0.0, now - started) / bucket_ms));
+  }
+
   Bucket& bucket(double now) {
-    auto slot = static_cast<std::int64_t>(std::floor(now / bucket_ms));
+    auto slot = slot_at(now);
     auto& b = window[static_cast<std::size_t>(slot % buckets)];
     if (b.slot != slot) b = {.slot = slot};
     return b;
@@ -211,7 +212,7 @@
   }
 
   [[nodiscard]] double drop(double now) const {
-    auto head = static_cast<std::int64_t>(std::floor(now / bucket_ms));
+    auto head = slot_at(now);
     double total = 0, accepts = 0;
     int failing = 0, working = 0;
     bool run_fails = true, run_works = true;
@@ -287,7 +288,7 @@
       }
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
-    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + 1.5 * peers))
+    if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + bad_times * peers))
       bench(be, bench_ms, "fails more", now);
   }
 
@@ -411,11 +412,11 @@
       if (cold(be, now)) refill(be, now);
       if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
     }
-    if (stage == 0 && v.sent == 0 && !room(v, ready)) {
-      turned_away += calm_gain * (1 - turned_away);
-      return -1;
+    if (stage == 0 && v.sent == 0) {
+      bool full = !room(v, ready);
+      turned_away += calm_gain * (full - turned_away);
+      if (full) return -1;
     }
-    if (stage == 0 && v.sent == 0) turned_away -= calm_gain * turned_away;
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
     if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
       candidates.clear();
@@ -681,7 +682,7 @@
   double mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0, late_held = 0,
          late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
          overload_factor = 2;
-  double ask_within = 10000, probe_price = 0;
+  double ask_within = 10000;
 
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
