--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -62,6 +62,7 @@
 // Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
 // little.
 constexpr double extra_room = 0.5;  // of the room others have
+constexpr double low_room = 0.85;   // for path prefixes that earn less than the best
 constexpr double quota_burst_ms = 1000;
 constexpr double part_burst = 10;  // visits
 
@@ -91,7 +92,7 @@
   Group group = Group::cell;
   double ttl = 0;
   double log_took = 0;  // mean log of time taken, weights taken out
-  double target = 1000;
+  double target = 1000, earnings = 1;
 };
 
 struct Tenant {
@@ -141,6 +142,8 @@
       p.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
       p.ttl = number(at + "key_ttl_ms", 0);
       p.target = number(at + "target_latency_ms", 1000);
+      p.earnings = number(at + "earnings", 1);
+      top_earnings = std::max(top_earnings, p.earnings);
       prefixes.push_back(p);
     }
     replicas = std::max(1.0, number("replicas_of_me", 1));
@@ -330,7 +333,7 @@
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
-    double part = v.extra ? extra_room : 1;
+    double part = (v.extra ? extra_room : 1) * (prefix(v).earnings < top_earnings ? low_room : 1);
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     if (out_all < ready * part * room_floor * tiers / replicas) return true;
     if (calm == 0) return false;
@@ -679,8 +682,8 @@
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
   double spill = spill_least, near_took = 0, far_took = 0;
-  double mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0, late_held = 0,
-         late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
+  double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
+         late_held = 0, late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
          overload_factor = 2;
   double ask_within = 10000;
 
