--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -62,7 +62,8 @@
 // Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
 // little.
 constexpr double extra_room = 0.5;  // of the room others have
-constexpr double low_room = 0.85;   // for path prefixes that earn less than the best
+constexpr double low_cut = 0.25;    // of the room, for path prefixes that earn less than the best, in a crowd
+constexpr double low_full = 0.4;    // share turned away at which that is in force
 constexpr double quota_burst_ms = 1000;
 constexpr double part_burst = 10;  // visits
 
@@ -333,7 +334,9 @@
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
-    double part = (v.extra ? extra_room : 1) * (prefix(v).earnings < top_earnings ? low_room : 1);
+    double part =
+        (v.extra ? extra_room : 1) *
+        (prefix(v).earnings < top_earnings ? 1 - low_cut * std::min(1.0, turned_away / low_full) : 1);
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     if (out_all < ready * part * room_floor * tiers / replicas) return true;
     if (calm == 0) return false;
