--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -63,7 +63,7 @@
 // little.
 constexpr double extra_room = 0.5;  // of the room others have
 constexpr double low_cut = 0.25;    // of the room, for path prefixes that earn less than the best, in a crowd
-constexpr double low_full = 0.4;    // share turned away at which that is in force
+constexpr double low_from = 0.2;    // share turned away from which that grows; whole at twice that
 constexpr double quota_burst_ms = 1000;
 constexpr double part_burst = 10;  // visits
 
@@ -334,9 +334,10 @@
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
-    double part =
-        (v.extra ? extra_room : 1) *
-        (prefix(v).earnings < top_earnings ? 1 - low_cut * std::min(1.0, turned_away / low_full) : 1);
+    double part = (v.extra ? extra_room : 1) *
+                  (prefix(v).earnings < top_earnings
+                       ? 1 - low_cut * std::clamp((turned_away - low_from) / low_from, 0.0, 1.0)
+                       : 1);
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     if (out_all < ready * part * room_floor * tiers / replicas) return true;
     if (calm == 0) return false;
