--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -61,9 +61,9 @@
 
 // Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
 // little.
-constexpr double extra_room = 0.5;  // of the room others have
-constexpr double low_cut = 0.25;    // of the room, for path prefixes that earn less than the best, in a crowd
-constexpr double low_from = 0.2;    // share turned away from which that grows; whole at twice that
+constexpr double extra_cut = 0.5;   // of the room
+constexpr double low_cut = 0.25;    // the same for path prefixes that earn less than the best
+constexpr double crowd_from = 0.2;  // share turned away from which both grow; whole at twice that
 constexpr double quota_burst_ms = 1000;
 constexpr double part_burst = 10;  // visits
 
@@ -71,7 +71,6 @@
 constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
 constexpr double copy_after = 1.5;  // times the slow end of the answers, for a sick server's visits
-constexpr double copy_least_ms = 50;
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 
 // Cold servers.
@@ -334,10 +333,9 @@
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
-    double part = (v.extra ? extra_room : 1) *
-                  (prefix(v).earnings < top_earnings
-                       ? 1 - low_cut * std::clamp((turned_away - low_from) / low_from, 0.0, 1.0)
-                       : 1);
+    // In a crowd, and only then, what earns less and what is beyond a share make way.
+    double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
+    double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     if (out_all < ready * part * room_floor * tiers / replicas) return true;
     if (calm == 0) return false;
@@ -576,12 +574,12 @@
   Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
-    if (copies(v) && v.out == v.sent) p.again = std::max(copy_least_ms, copy_after * slow_end) * v.sent;
+    if (copies(v) && v.out == v.sent) p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
     return p;
   }
 
   [[nodiscard]] bool copies(const Visit& v) {
-    return second_copies && slow_end > 0 && v.sent < 2 && prefix(v).repeat != Repeat::mutating;
+    return second_copies && v.sent < 2 && prefix(v).repeat != Repeat::mutating;
   }
 
   // --- News -----------------------------------------------------------------------------------------------
