--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -708,6 +708,7 @@
 }
 
 Answer Brain::begun(Visit& v, int number, double) {
+  if (number < 0 || number >= v.sent) return {};
   v.streaming = true;
   return {.cancel = core_->rest(v) & ~(1u << number)};
 }
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -1,11 +1,14 @@
 #include "drill/codec.hpp"
 
+#include <cmath>
+
 namespace meadow::drill {
 
 Batch::Batch(std::span<const char> bytes) {
   if (bytes.size() < batch_header) throw BadFrame("batch shorter than its header");
   count_ = load<std::uint32_t>(bytes.data());
   now_ = load<double>(bytes.data() + 8);
+  if (!(std::abs(now_) < latest_clock)) throw BadFrame("impossible clock");
   if (load<std::uint32_t>(bytes.data() + 4) != bytes.size()) throw BadFrame("batch length does not match");
   if (count_ > (bytes.size() - batch_header) / event_size)
     throw BadFrame("record count does not fit the batch");
--- a/src/drill/codec.hpp
+++ b/src/drill/codec.hpp
@@ -19,6 +19,7 @@
 inline constexpr std::size_t event_size = 48;
 inline constexpr std::size_t action_size = 24;
 inline constexpr std::size_t entry_size = 22;
+inline constexpr double latest_clock = 1e15;  // milliseconds either way
 
 namespace event {
 enum : std::uint8_t {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -30,6 +30,7 @@
   refused(frame(1, ""));
   refused(frame(0xffffffff, std::string(48, '\0')));
   refused(frame(0, "", 0, 17));
+  refused(frame(0, "", std::numeric_limits<double>::quiet_NaN()));
   auto f = frame(0, "tail");
   Batch b(f);
   EXPECT_EQ(b.tail(1, 3), "ail");
