Look before sending: load that answers carry and first-tier probes at the pick

At size an instance sends a server one visit in several seconds, so idle-first is a plain random draw; servers choke one by one.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -46,6 +46,7 @@
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
 constexpr int calm_after = 20;       // answers before the calm time means anything
 constexpr double room_chance = 1.2;  // roots of the usual number
+constexpr double crowd_times = 0.3;
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
@@ -74,6 +75,16 @@
 constexpr double cold_burst = 1;
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
+// Probes: where an instance sends too little to know its servers, it looks before it sends, the more the more it
+// finds busy.
+constexpr double probe_least = 0.3;  // probes a fetch
+constexpr double probe_more = 8;     // and so many more for each crowded share
+constexpr double probe_most = 2;
+constexpr double probe_gain = 0.05;
+constexpr double crowded = 2;  // times the usual load
+constexpr double probe_fresh_ms = 1000;
+constexpr double probe_idle = 0.1;  // of the mean time taken: a wait up to this is none
+
 // The list.
 constexpr double tick_ms = 100;
 constexpr double ask_first_ms = 400;
@@ -114,6 +125,7 @@
   double bench_until = 0, well_since = 0;
   int relapses = 0;
   bool trial = false;  // back from the bench, one visit at a time
+  double wait = 0, wait_at = -never;  // as the last probe found it, and not used since
   double tokens = cold_burst, tokens_at = 0, failed_at = -never;
 };
 
@@ -153,6 +165,15 @@
     }
     if (prefixes.empty()) prefixes.emplace_back();
     max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
+    auto columns = word("report.columns");
+    for (auto [name, least] : {std::pair{"concurrent", 1.0}, {"load_share", 0.05}})
+      if (auto at = columns.find(name); column < 0 && at != columns.npos) {
+        column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
+        load_least = least;
+        reports_held = least == 1;
+      }
+    inlined = word("report.how") == "inline";
+    probing = word("limits.probes") == "true" && !(inlined && column >= 0);
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
@@ -327,10 +348,15 @@
     double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
     double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
-    if (out_all < ready * part * room_floor * tiers / replicas) return true;
-    if (calm == 0) return false;
+    double few = ready * part * room_floor * tiers / replicas;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    return out_all + 1 <= part * (late_held * bound / late_took + room_chance * std::sqrt(late_held));
+    // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
+    double full = calm > 0 ? (late_took / bound - 1) / crowd_times : 0;
+    if (reports_held) full = std::max(full, 2 * usual_wait / (room_floor * tiers) - 1);
+    double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
+    if (out_all < few + (usual_wait > 0 ? chance * std::sqrt(few) : 0)) return true;
+    if (calm == 0) return false;
+    return out_all + 1 <= part * (late_held * bound / late_took + chance * std::sqrt(late_held));
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -428,6 +454,8 @@
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
     int pick = -1;
+    int lookedup = looked(now, held);
+    if (lookedup >= 0) return lookedup;
     for (int i : candidates)
       if (held(i) < 0.5 && uniform() * (idle += pull(bes[i])) < pull(bes[i])) pick = i;
     if (pick >= 0) return pick;
@@ -436,6 +464,51 @@
     return (held(b) + 1) * pull(bes[a]) < (held(a) + 1) * pull(bes[b]) ? b : a;
   }
 
+  // What the last probes found: the one with the least wait among them goes first, if that is no more than usual;
+  // those with more are passed over.
+  template <class Held>
+  int looked(double now, Held held) {
+    int pick = -1;
+    for (int i : candidates) {
+      const auto& be = bes[i];
+      if (now - be.wait_at < probe_fresh_ms && be.wait <= usual_wait && held(i) < 0.5 &&
+          (pick < 0 || be.wait < bes[pick].wait))
+        pick = i;
+    }
+    if (pick >= 0) {
+      bes[pick].wait_at = -never;
+      return pick;
+    }
+    auto busy = std::stable_partition(candidates.begin(), candidates.end(), [&](int i) {
+      return now - bes[i].wait_at >= probe_fresh_ms || bes[i].wait <= usual_wait;
+    });
+    if (busy != candidates.begin()) candidates.erase(busy, candidates.end());
+    return -1;
+  }
+
+  // What a server was seen to bear: the visits it reports, else how busy it is, else how long a probe waited.
+  void saw(Be& be, double load, double now) {
+    be.wait = load;
+    be.wait_at = now;
+    if (usual_wait > 0) {
+      fade(be, now);
+      be.slow += std::log(std::clamp(load / usual_wait, 0.5, 20.0));
+      be.seen += 1;
+    }
+    busy += probe_gain * ((usual_wait > 0 && load > crowded * usual_wait) - busy);
+    usual_wait = usual_wait == 0 ? load : usual_wait * std::exp(probe_gain * (load > usual_wait ? 1 : -1));
+  }
+
+  void probed(int i, Status status, double took, const Gauge& gauge, double now) {
+    if (i < 0 || i >= static_cast<int>(bes.size())) return;
+    if (status != Status::delivered)
+      saw(bes[i], never, now);
+    else if (column < 0)
+      saw(bes[i], took, now);
+    else if (column < gauge.n)
+      saw(bes[i], (gauge.v[column] + load_least) / bes[i].weight, now);
+  }
+
   // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
   [[nodiscard]] static double pull(const Be& be) {
     return be.weight * std::exp(-be.slow / (be.seen + slow_prior));
@@ -469,6 +542,7 @@
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
     ++out_all;
+    if (stage == 0 && replicas > 1) probes_due += std::min(probe_most, probe_least + probe_more * busy);
     return {.kind = Answer::fetch, .be = i};
   }
 
@@ -508,6 +582,8 @@
     be.waiting_since = now;
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
+    if (inlined && reports_held && rt.status == Status::delivered && column >= 0 && column < rt.gauge.n)
+      saw(be, (rt.gauge.v[column] + load_least) / be.weight, now);
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
@@ -640,6 +716,12 @@
     if (crossing_costs)
       spill =
           std::clamp(spill + (near_took > zone_slower * far_took ? spill_up : -spill_down), spill_least, 1.0);
+    if (probing && !listed.empty())
+      for (probes_due = std::min(probes_due, 8.0); probes_due >= 1; probes_due -= 1) {
+        int i = listed[rng() % listed.size()];
+        if (bes[i].standing == Standing::ready && !cold(bes[i], now) && (!crossing_costs || bes[i].zone == zone) && now - bes[i].wait_at > probe_fresh_ms)
+          c.probe.push_back(i);
+      }
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
@@ -679,6 +761,10 @@
          overload_factor = 2;
   double ask_within = 10000;
 
+  bool reports_held = false, probing = false, inlined = false;
+  int column = -1;
+  double load_least = 0;
+  double probes_due = 0, busy = 0.3, usual_wait = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
   std::vector<Be> bes;
@@ -716,7 +802,7 @@
 void Brain::list(ListKind kind, std::span<const Entry> entries, double now) {
   core_->list(kind, entries, now);
 }
-void Brain::probed(int, Status, const Gauge&, double) {}
+void Brain::probed(int be, Status s, double took, const Gauge& g, double now) { core_->probed(be, s, took, g, now); }
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
 double Brain::drop(double now) const { return core_->drop(now); }
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -113,7 +113,7 @@
   Answer left(Visit& v, double now);               // the client is gone
   Answer begun(Visit& v, int number, double now);  // a streamed answer has started
   void list(ListKind kind, std::span<const Entry> entries, double now);
-  void probed(int be, Status status, const Gauge& gauge, double now);
+  void probed(int be, Status status, double took, const Gauge& gauge, double now);
   Chores tick(double now);  // every tick_every() ms
   [[nodiscard]] double tick_every() const;
 
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -138,7 +138,8 @@
 
 void Instance::probe_done(Record r, double now) {
   auto it = index_.find(r.get<std::uint32_t>(1));
-  if (it != index_.end()) brain_.probed(it->second, status_of(r.get<std::uint16_t>(5)), gauge_at(r, 15), now);
+  if (it != index_.end())
+    brain_.probed(it->second, status_of(r.get<std::uint16_t>(5)), r.get<double>(7), gauge_at(r, 15), now);
 }
 
 void Instance::registry(Record r, std::string_view entries, double now) {
