--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -46,7 +46,8 @@
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
 constexpr int calm_after = 20;       // answers before the calm time means anything
 constexpr double room_chance = 1.2;  // roots of the usual number
-constexpr double crowd_times = 0.3;
+constexpr double calm_load_after_ms = 2000;
+constexpr double crowd_times = 0.8;
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
@@ -344,6 +345,7 @@
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
+    mean_out += std::max(room_gain, 1.0 / ++arrivals) * (out_all - mean_out);
     // In a crowd, and only then, what earns less and what is beyond a share make way.
     double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
     double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
@@ -351,12 +353,15 @@
     double few = ready * part * room_floor * tiers / replicas;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
-    double full = calm > 0 ? (late_took / bound - 1) / crowd_times : 0;
+    double over = calm > 0 ? late_took / bound : 0;
+    if (calm_wait > 0) over = std::max(over, usual_wait / (crowded * calm_wait));
+    double full = (over - 1) / crowd_times;
     if (reports_held) full = std::max(full, 2 * usual_wait / (room_floor * tiers) - 1);
     double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
-    if (out_all < few + (usual_wait > 0 ? chance * std::sqrt(few) : 0)) return true;
+    double mean_full = std::clamp((mean_out / few - 0.75) / 0.5, 0.0, 1.0);
+    if (out_all < few + std::min(chance, room_chance * (1 - mean_full)) * std::sqrt(few)) return true;
     if (calm == 0) return false;
-    return out_all + 1 <= part * (late_held * bound / late_took + chance * std::sqrt(late_held));
+    return out_all + 1 <= part * (late_held / over + chance * std::sqrt(late_held));
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -706,6 +711,12 @@
       asked = true;
       asked_at = now;
     }
+    if (usual_wait > 0 && !reports_held && now - started > calm_load_after_ms) {
+      if (calm_wait == 0 || usual_wait < calm_wait)
+        calm_wait = usual_wait;
+      else if (turned_away < calm_hold)
+        calm_wait += (usual_wait - calm_wait) * tick_ms / calm_drift_ms;
+    }
     if (answers >= calm_after) {
       // Under a load that the bound holds back, slower is not calmer: the calm time stays where it was.
       if (calm == 0 || mean_took < calm)
@@ -764,7 +775,8 @@
   bool reports_held = false, probing = false, inlined = false;
   int column = -1;
   double load_least = 0;
-  double probes_due = 0, busy = 0.3, usual_wait = 0;
+  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0;
+  std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
   std::vector<Be> bes;
