--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -78,12 +78,12 @@
 
 // Probes: where an instance sends too little to know its servers, it looks before it sends, the more the more it
 // finds busy.
-constexpr double probe_least = 0.3;  // probes a fetch
-constexpr double probe_more = 8;     // and so many more for each crowded share
+constexpr double probe_least = 1;  // probes a fetch
+constexpr double probe_more = 16;     // and so many more for each crowded share
 constexpr double probe_most = 2;
 constexpr double probe_gain = 0.05;
 constexpr double crowded = 2;  // times the usual load
-constexpr double probe_fresh_ms = 1000;
+constexpr double probe_fresh_ms = 2000;
 constexpr double probe_idle = 0.1;  // of the mean time taken: a wait up to this is none
 
 // The list.
@@ -354,7 +354,7 @@
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
     double over = calm > 0 ? late_took / bound : 0;
-    if (calm_wait > 0) over = std::max(over, usual_wait / (crowded * calm_wait));
+    if (calm_wait > 0) over = std::max(over, usual_wait / (4 * calm_wait));
     double full = (over - 1) / crowd_times;
     if (reports_held) full = std::max(full, 2 * usual_wait / (room_floor * tiers) - 1);
     double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
@@ -473,19 +473,17 @@
   // those with more are passed over.
   template <class Held>
   int looked(double now, Held held) {
+    const double fresh = std::min(probe_fresh_ms, 1 / warm_rate);
     int pick = -1;
     for (int i : candidates) {
       const auto& be = bes[i];
-      if (now - be.wait_at < probe_fresh_ms && be.wait <= usual_wait && held(i) < 0.5 &&
+      if (now - be.wait_at < fresh && be.wait <= usual_wait && held(i) < 0.5 &&
           (pick < 0 || be.wait < bes[pick].wait))
         pick = i;
     }
-    if (pick >= 0) {
-      bes[pick].wait_at = -never;
-      return pick;
-    }
+    if (pick >= 0) return pick;
     auto busy = std::stable_partition(candidates.begin(), candidates.end(), [&](int i) {
-      return now - bes[i].wait_at >= probe_fresh_ms || bes[i].wait <= usual_wait;
+      return now - bes[i].wait_at >= fresh || bes[i].wait <= usual_wait;
     });
     if (busy != candidates.begin()) candidates.erase(busy, candidates.end());
     return -1;
@@ -497,10 +495,10 @@
     be.wait_at = now;
     if (usual_wait > 0) {
       fade(be, now);
-      be.slow += std::log(std::clamp(load / usual_wait, 0.5, 20.0));
+      be.slow += 0.5 * std::log(std::clamp(load / usual_wait, 0.5, 20.0));
       be.seen += 1;
     }
-    busy += probe_gain * ((usual_wait > 0 && load > crowded * usual_wait) - busy);
+    busy += 2 * probe_gain * ((usual_wait > 0 && load > crowded * usual_wait) - busy);
     usual_wait = usual_wait == 0 ? load : usual_wait * std::exp(probe_gain * (load > usual_wait ? 1 : -1));
   }
 
@@ -543,11 +541,12 @@
   Answer send(Visit& v, int i, double now) {
     auto& be = bes[i];
     if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
+    be.wait_at = -never;  // one visit for each look, or all would follow it
     if (be.out++ == 0) be.waiting_since = now;
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
     ++out_all;
-    if (stage == 0 && replicas > 1) probes_due += std::min(probe_most, probe_least + probe_more * busy);
+    if (stage == 0 && replicas > 1) probes_due += (1 - 1 / replicas) * std::min(probe_most, probe_least + probe_more * busy);
     return {.kind = Answer::fetch, .be = i};
   }
 
