--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -82,6 +82,7 @@
 constexpr double probe_more = 16;     // and so many more for each crowded share
 constexpr double probe_most = 2;
 constexpr double probe_gain = 0.05;
+constexpr double deep_rate = 0.3;
 constexpr double crowded = 2;  // times the usual load
 constexpr double probe_fresh_ms = 2000;
 constexpr double probe_idle = 0.1;  // of the mean time taken: a wait up to this is none
@@ -353,7 +354,8 @@
     double few = ready * part * room_floor * tiers / replicas;
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
-    double over = calm > 0 ? late_took / bound : 0;
+    // What is given up on never shows its time: the delivered ones alone look quick in a jam.
+    double over = calm > 0 ? late_took / bound / timely : 0;
     if (calm_wait > 0) over = std::max(over, usual_wait / (4 * calm_wait));
     double full = (over - 1) / crowd_times;
     if (reports_held) full = std::max(full, 2 * usual_wait / (room_floor * tiers) - 1);
@@ -499,6 +501,7 @@
       be.seen += 1;
     }
     busy += 2 * probe_gain * ((usual_wait > 0 && load > crowded * usual_wait) - busy);
+    if (usual_wait == 0 && load == never) return;
     usual_wait = usual_wait == 0 ? load : usual_wait * std::exp(probe_gain * (load > usual_wait ? 1 : -1));
   }
 
@@ -546,7 +549,8 @@
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
     ++out_all;
-    if (stage == 0 && replicas > 1) probes_due += (1 - 1 / replicas) * std::min(probe_most, probe_least + probe_more * busy);
+    double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * busy) : deep_rate;
+    probes_due += (1 - 1 / replicas) * rate;
     return {.kind = Answer::fetch, .be = i};
   }
 
@@ -619,6 +623,7 @@
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
     if (!ok) be.failed_at = now;
+    if (ok || f.status == Status::timeout) timely = std::max(0.05, timely + room_gain * (ok - timely));
     be.fresh = false;
     last_answer = ok ? now : last_answer;
     if (ok) {
@@ -774,7 +779,7 @@
   bool reports_held = false, probing = false, inlined = false;
   int column = -1;
   double load_least = 0;
-  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0;
+  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
