--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -47,6 +47,8 @@
 constexpr int calm_after = 20;       // answers before the calm time means anything
 constexpr double room_chance = 1.2;  // roots of the usual number
 constexpr double calm_load_after_ms = 2000;
+constexpr double room_util = 0.7;
+constexpr double room_util_most = 2;
 constexpr double crowd_times = 0.8;
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
@@ -352,6 +354,7 @@
     double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     double few = ready * part * room_floor * tiers / replicas;
+    if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
     // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
     // What is given up on never shows its time: the delivered ones alone look quick in a jam.
@@ -592,6 +595,7 @@
     v.answered = v.answered || rt.closed;
     if (inlined && reports_held && rt.status == Status::delivered && column >= 0 && column < rt.gauge.n)
       saw(be, (rt.gauge.v[column] + load_least) / be.weight, now);
+    if (inlined && !reports_held && column >= 0 && column < rt.gauge.n && rt.status == Status::delivered) blend(tier_util, rt.gauge.v[column], room_gain);
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
@@ -779,7 +783,7 @@
   bool reports_held = false, probing = false, inlined = false;
   int column = -1;
   double load_least = 0;
-  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1;
+  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1, tier_util = 0;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
