--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -57,6 +57,7 @@
 constexpr double spill_least = 0.03;
 constexpr double spill_up = 0.02;  // each tick
 constexpr double spill_down = 0.01;
+constexpr double zone_busy = 0.5;
 constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
 
 // Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
@@ -595,7 +596,10 @@
     v.answered = v.answered || rt.closed;
     if (inlined && reports_held && rt.status == Status::delivered && column >= 0 && column < rt.gauge.n)
       saw(be, (rt.gauge.v[column] + load_least) / be.weight, now);
-    if (inlined && !reports_held && column >= 0 && column < rt.gauge.n && rt.status == Status::delivered) blend(tier_util, rt.gauge.v[column], room_gain);
+    if (inlined && !reports_held && column >= 0 && column < rt.gauge.n && rt.status == Status::delivered) {
+      blend(tier_util, rt.gauge.v[column], room_gain);
+      blend(be.zone == zone ? near_util : far_util, rt.gauge.v[column], room_gain);
+    }
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
@@ -732,9 +736,11 @@
       else if (turned_away < calm_hold)
         calm += (mean_took - calm) * tick_ms / calm_drift_ms;
     }
+    bool fuller = far_util > 0 ? near_util > std::max(zone_busy, zone_slower * far_util)
+                               : near_took > zone_slower * far_took;
     if (crossing_costs)
       spill =
-          std::clamp(spill + (near_took > zone_slower * far_took ? spill_up : -spill_down), spill_least, 1.0);
+          std::clamp(spill + (fuller ? spill_up : -spill_down), spill_least, 1.0);
     if (probing && !listed.empty())
       for (probes_due = std::min(probes_due, 8.0); probes_due >= 1; probes_due -= 1) {
         int i = listed[rng() % listed.size()];
@@ -783,7 +789,7 @@
   bool reports_held = false, probing = false, inlined = false;
   int column = -1;
   double load_least = 0;
-  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1, tier_util = 0;
+  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1, tier_util = 0, near_util = 0, far_util = 0;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
