--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -55,8 +55,8 @@
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
 constexpr double spill_least = 0.03;
-constexpr double spill_up = 0.02;  // each tick
-constexpr double spill_down = 0.01;
+constexpr double spill_up = 0.01;  // each tick
+constexpr double spill_down = 0.005;
 constexpr double zone_busy = 0.5;
 constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
 
