--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -46,10 +46,14 @@
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
 constexpr int calm_after = 20;       // answers before the calm time means anything
 constexpr double room_chance = 1.2;  // roots of the usual number
-constexpr double calm_load_after_ms = 2000;
-constexpr double room_util = 0.7;
-constexpr double room_util_most = 2;
-constexpr double crowd_times = 0.8;
+constexpr double crowd_times = 0.8;  // over the bound by this share, nothing is left to chance
+constexpr double mean_from = 0.75;   // of what is no crowd: from there on the mean out uses up chance
+constexpr double mean_span = 0.5;
+constexpr double room_util = 0.7;         // a tier less busy than this has more room, by as much,
+constexpr double room_util_most = 2;      // up to this
+constexpr double crowd_load = 4;          // times the calm load that a tier shows: as a time at the bound
+constexpr double calm_load_after = 2000;  // ms
+constexpr double timely_least = 0.05;
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
 
@@ -79,16 +83,19 @@
 constexpr double cold_burst = 1;
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
-// Probes: where an instance sends too little to know its servers, it looks before it sends, the more the more it
-// finds busy.
-constexpr double probe_least = 1;  // probes a fetch
-constexpr double probe_more = 16;     // and so many more for each crowded share
+// Looks: what probes and the load that answers carry tell of a server's visits.
+constexpr double probe_least = 1;  // probes a fetch of the first tier
+constexpr double probe_more = 16;  // so many more for the share of looks that finds a crowd
 constexpr double probe_most = 2;
-constexpr double probe_gain = 0.05;
-constexpr double deep_rate = 0.3;
-constexpr double crowded = 2;  // times the usual load
-constexpr double probe_fresh_ms = 2000;
-constexpr double probe_idle = 0.1;  // of the mean time taken: a wait up to this is none
+constexpr double probe_deep = 0.3;  // the same below the first tier
+constexpr double probes_at_once = 8;
+constexpr double crowded_times = 2;  // times the usual load
+constexpr double crowded_gain = 0.1;
+constexpr double crowded_first = 0.3;
+constexpr double usual_gain = 0.05;
+constexpr double look_most_ms = 2000;  // older looks count for nothing
+constexpr double look_weight = 0.5;    // against an answer, in how slow a server is
+constexpr double look_low = 0.5, look_high = 20;
 
 // The list.
 constexpr double tick_ms = 100;
@@ -129,8 +136,8 @@
   double rate = 0;            // own deliveries, faded like the evidence
   double bench_until = 0, well_since = 0;
   int relapses = 0;
-  bool trial = false;  // back from the bench, one visit at a time
-  double wait = 0, wait_at = -never;  // as the last probe found it, and not used since
+  bool trial = false;                   // back from the bench, one visit at a time
+  double load = 0, looked_at = -never;  // the last look; none once a visit went there
   double tokens = cold_burst, tokens_at = 0, failed_at = -never;
 };
 
@@ -170,15 +177,8 @@
     }
     if (prefixes.empty()) prefixes.emplace_back();
     max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
-    auto columns = word("report.columns");
-    for (auto [name, least] : {std::pair{"concurrent", 1.0}, {"load_share", 0.05}})
-      if (auto at = columns.find(name); column < 0 && at != columns.npos) {
-        column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
-        load_least = least;
-        reports_held = least == 1;
-      }
-    inlined = word("report.how") == "inline";
-    probing = word("limits.probes") == "true" && !(inlined && column >= 0);
+    read_reports();
+    probing = word("limits.probes") == "true" && column < 0;
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
@@ -213,6 +213,17 @@
     return otherwise;
   }
 
+  // Load reports in answers: the visits a server holds tell most, else how busy it is.
+  void read_reports() {
+    auto columns = word("report.columns");
+    if (word("report.how") != "inline") return;
+    for (std::string_view name : {"concurrent", "load_share"})
+      if (auto at = columns.find(name); column < 0 && at != columns.npos) {
+        column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
+        counts_visits = name == "concurrent";
+      }
+  }
+
   double uniform() { return static_cast<double>(rng()) / 4294967296.0; }
   Prefix& prefix(const Visit& v) {
     return prefixes[std::clamp(v.prefix, 0, static_cast<int>(prefixes.size()) - 1)];
@@ -354,17 +365,19 @@
     double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
     double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
+    // What small instances may hold on top of it for chance adds up over them: only while the mean is under
+    // it.
     double few = ready * part * room_floor * tiers / replicas;
     if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    // What chance puts on top adds up over the instances: it is left out once the tier looks crowded.
-    // What is given up on never shows its time: the delivered ones alone look quick in a jam.
+    // Chance is left out once the tier looks crowded: by times, by looks, or by the visits that servers
+    // report. What is given up on never shows its time: the delivered ones alone look quick in a jam.
     double over = calm > 0 ? late_took / bound / timely : 0;
-    if (calm_wait > 0) over = std::max(over, usual_wait / (4 * calm_wait));
+    if (calm_load > 0) over = std::max(over, usual_load / (crowd_load * calm_load));
     double full = (over - 1) / crowd_times;
-    if (reports_held) full = std::max(full, 2 * usual_wait / (room_floor * tiers) - 1);
+    if (counts_visits) full = std::max(full, 2 * usual_load / (room_floor * tiers) - 1);
     double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
-    double mean_full = std::clamp((mean_out / few - 0.75) / 0.5, 0.0, 1.0);
+    double mean_full = std::clamp((mean_out / few - mean_from) / mean_span, 0.0, 1.0);
     if (out_all < few + std::min(chance, room_chance * (1 - mean_full)) * std::sqrt(few)) return true;
     if (calm == 0) return false;
     return out_all + 1 <= part * (late_held / over + chance * std::sqrt(late_held));
@@ -464,9 +477,8 @@
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
-    int pick = -1;
-    int lookedup = looked(now, held);
-    if (lookedup >= 0) return lookedup;
+    int pick = looked(now, held);
+    if (pick >= 0) return pick;
     for (int i : candidates)
       if (held(i) < 0.5 && uniform() * (idle += pull(bes[i])) < pull(bes[i])) pick = i;
     if (pick >= 0) return pick;
@@ -475,48 +487,67 @@
     return (held(b) + 1) * pull(bes[a]) < (held(a) + 1) * pull(bes[b]) ? b : a;
   }
 
-  // What the last probes found: the one with the least wait among them goes first, if that is no more than usual;
-  // those with more are passed over.
+  // At size own visits say nothing of most servers: then the idle one with the least load by a fresh look
+  // goes first, if that is no more than usual, and those with more are passed over. A look is fresh until
+  // this instance would have met the server anyway, and is used up by one visit, so that no crowd follows it.
   template <class Held>
   int looked(double now, Held held) {
-    const double fresh = std::min(probe_fresh_ms, 1 / warm_rate);
+    const double fresh = std::min(look_most_ms, 1 / warm_rate);
     int pick = -1;
     for (int i : candidates) {
       const auto& be = bes[i];
-      if (now - be.wait_at < fresh && be.wait <= usual_wait && held(i) < 0.5 &&
-          (pick < 0 || be.wait < bes[pick].wait))
+      if (now - be.looked_at < fresh && be.load <= usual_load && held(i) < 0.5 &&
+          (pick < 0 || be.load < bes[pick].load))
         pick = i;
     }
     if (pick >= 0) return pick;
-    auto busy = std::stable_partition(candidates.begin(), candidates.end(), [&](int i) {
-      return now - bes[i].wait_at >= fresh || bes[i].wait <= usual_wait;
+    auto crowd = std::stable_partition(candidates.begin(), candidates.end(), [&](int i) {
+      return now - bes[i].looked_at >= fresh || bes[i].load <= usual_load;
     });
-    if (busy != candidates.begin()) candidates.erase(busy, candidates.end());
+    if (crowd != candidates.begin()) candidates.erase(crowd, candidates.end());
     return -1;
   }
 
-  // What a server was seen to bear: the visits it reports, else how busy it is, else how long a probe waited.
-  void saw(Be& be, double load, double now) {
-    be.wait = load;
-    be.wait_at = now;
-    if (usual_wait > 0) {
+  // A look at a server: how many visits it reports, or how long a probe took. One that failed is no measure
+  // of the usual load: it was taken for it once, and all servers looked calm ever after.
+  void look(Be& be, double load, double now) {
+    be.load = load;
+    be.looked_at = now;
+    if (usual_load > 0) {
       fade(be, now);
-      be.slow += 0.5 * std::log(std::clamp(load / usual_wait, 0.5, 20.0));
+      be.slow += look_weight * std::log(std::clamp(load / usual_load, look_low, look_high));
       be.seen += 1;
     }
-    busy += 2 * probe_gain * ((usual_wait > 0 && load > crowded * usual_wait) - busy);
-    if (usual_wait == 0 && load == never) return;
-    usual_wait = usual_wait == 0 ? load : usual_wait * std::exp(probe_gain * (load > usual_wait ? 1 : -1));
+    crowded += crowded_gain * ((usual_load > 0 && load > crowded_times * usual_load) - crowded);
+    if (usual_load > 0)
+      usual_load *= std::exp(load > usual_load ? usual_gain : -usual_gain);
+    else if (load < never)
+      usual_load = load;
   }
 
-  void probed(int i, Status status, double took, const Gauge& gauge, double now) {
-    if (i < 0 || i >= static_cast<int>(bes.size())) return;
-    if (status != Status::delivered)
-      saw(bes[i], never, now);
-    else if (column < 0)
-      saw(bes[i], took, now);
-    else if (column < gauge.n)
-      saw(bes[i], (gauge.v[column] + load_least) / bes[i].weight, now);
+  void probed(int i, Status status, double took, double now) {
+    if (i >= 0 && i < static_cast<int>(bes.size()) && column < 0)
+      look(bes[i], status == Status::delivered ? std::max(took, 0.01) : never, now);
+  }
+
+  // The load that a delivered answer carries. Where it is only how busy a server is, and late, all would
+  // follow it to the same one: it tells of the tier and of the zones, not of the server.
+  void reported(Be& be, const Gauge& gauge, double now) {
+    if (column < 0 || column >= gauge.n || !(gauge.v[column] >= 0) || !std::isfinite(gauge.v[column])) return;
+    if (counts_visits) return look(be, (gauge.v[column] + 1) / be.weight, now);
+    blend(tier_util, gauge.v[column], room_gain);
+    blend(be.zone == zone ? near_util : far_util, gauge.v[column], room_gain);
+  }
+
+  // Probes for this tick. Own visits tell all to an instance that is alone, and the less the more there are.
+  void choose_probes(std::vector<int>& chosen, double now) {
+    for (probes_due = std::min(probes_due, probes_at_once); probes_due >= 1; probes_due -= 1) {
+      int i = listed[rng() % listed.size()];
+      const auto& be = bes[i];
+      if (be.standing == Standing::ready && !cold(be, now) && (!crossing_costs || be.zone == zone) &&
+          now - be.looked_at > look_most_ms)
+        chosen.push_back(i);
+    }
   }
 
   // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
@@ -548,12 +579,12 @@
   Answer send(Visit& v, int i, double now) {
     auto& be = bes[i];
     if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
-    be.wait_at = -never;  // one visit for each look, or all would follow it
+    be.looked_at = -never;
     if (be.out++ == 0) be.waiting_since = now;
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
     ++out_all;
-    double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * busy) : deep_rate;
+    double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * crowded) : probe_deep;
     probes_due += (1 - 1 / replicas) * rate;
     return {.kind = Answer::fetch, .be = i};
   }
@@ -594,12 +625,7 @@
     be.waiting_since = now;
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
-    if (inlined && reports_held && rt.status == Status::delivered && column >= 0 && column < rt.gauge.n)
-      saw(be, (rt.gauge.v[column] + load_least) / be.weight, now);
-    if (inlined && !reports_held && column >= 0 && column < rt.gauge.n && rt.status == Status::delivered) {
-      blend(tier_util, rt.gauge.v[column], room_gain);
-      blend(be.zone == zone ? near_util : far_util, rt.gauge.v[column], room_gain);
-    }
+    if (rt.status == Status::delivered) reported(be, rt.gauge, now);
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
@@ -631,7 +657,8 @@
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
     if (!ok) be.failed_at = now;
-    if (ok || f.status == Status::timeout) timely = std::max(0.05, timely + room_gain * (ok - timely));
+    if (ok || f.status == Status::timeout)
+      timely = std::max(timely_least, timely + room_gain * (ok - timely));
     be.fresh = false;
     last_answer = ok ? now : last_answer;
     if (ok) {
@@ -706,6 +733,15 @@
     std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
   }
 
+  // The least that a mean has been. Under a load that the bound holds back, slower is not calmer: it stays
+  // then.
+  void settle(double& least, double mean) const {
+    if (least == 0 || mean < least)
+      least = mean;
+    else if (turned_away < calm_hold)
+      least += (mean - least) * tick_ms / calm_drift_ms;
+  }
+
   void schedule_ask(double now) {
     failures = std::min(failures + 1, 10);
     if (failures == 3) lines.push_back("the list of upstreams is out of reach");
@@ -723,30 +759,12 @@
       asked = true;
       asked_at = now;
     }
-    if (usual_wait > 0 && !reports_held && now - started > calm_load_after_ms) {
-      if (calm_wait == 0 || usual_wait < calm_wait)
-        calm_wait = usual_wait;
-      else if (turned_away < calm_hold)
-        calm_wait += (usual_wait - calm_wait) * tick_ms / calm_drift_ms;
-    }
-    if (answers >= calm_after) {
-      // Under a load that the bound holds back, slower is not calmer: the calm time stays where it was.
-      if (calm == 0 || mean_took < calm)
-        calm = mean_took;
-      else if (turned_away < calm_hold)
-        calm += (mean_took - calm) * tick_ms / calm_drift_ms;
-    }
+    if (usual_load > 0 && !counts_visits && now - started > calm_load_after) settle(calm_load, usual_load);
+    if (answers >= calm_after) settle(calm, mean_took);
     bool fuller = far_util > 0 ? near_util > std::max(zone_busy, zone_slower * far_util)
                                : near_took > zone_slower * far_took;
-    if (crossing_costs)
-      spill =
-          std::clamp(spill + (fuller ? spill_up : -spill_down), spill_least, 1.0);
-    if (probing && !listed.empty())
-      for (probes_due = std::min(probes_due, 8.0); probes_due >= 1; probes_due -= 1) {
-        int i = listed[rng() % listed.size()];
-        if (bes[i].standing == Standing::ready && !cold(bes[i], now) && (!crossing_costs || bes[i].zone == zone) && now - bes[i].wait_at > probe_fresh_ms)
-          c.probe.push_back(i);
-      }
+    if (crossing_costs) spill = std::clamp(spill + (fuller ? spill_up : -spill_down), spill_least, 1.0);
+    if (probing && !listed.empty()) choose_probes(c.probe, now);
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
@@ -786,10 +804,10 @@
          overload_factor = 2;
   double ask_within = 10000;
 
-  bool reports_held = false, probing = false, inlined = false;
-  int column = -1;
-  double load_least = 0;
-  double probes_due = 0, busy = 0.3, usual_wait = 0, calm_wait = 0, mean_out = 0, timely = 1, tier_util = 0, near_util = 0, far_util = 0;
+  bool probing = false, counts_visits = false;
+  int column = -1;  // of the load reports, where answers carry them
+  double probes_due = 0, crowded = crowded_first, usual_load = 0, calm_load = 0;
+  double tier_util = 0, near_util = 0, far_util = 0, mean_out = 0, timely = 1;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
   double last_passed = -never;
@@ -828,7 +846,9 @@
 void Brain::list(ListKind kind, std::span<const Entry> entries, double now) {
   core_->list(kind, entries, now);
 }
-void Brain::probed(int be, Status s, double took, const Gauge& g, double now) { core_->probed(be, s, took, g, now); }
+void Brain::probed(int be, Status status, double took, const Gauge&, double now) {
+  core_->probed(be, status, took, now);
+}
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
 double Brain::drop(double now) const { return core_->drop(now); }
