--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -653,10 +653,12 @@
   }
 
   void note(const Fetch& f, Prefix& p, double now) {
-    if (f.status == Status::cancelled || f.status == Status::moot) return;
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
+    // Also what was cancelled: the server may work on, and a cold one that is all there is must not get the
+    // next.
     if (!ok) be.failed_at = now;
+    if (f.status == Status::cancelled || f.status == Status::moot) return;
     if (ok || f.status == Status::timeout)
       timely = std::max(timely_least, timely + room_gain * (ok - timely));
     be.fresh = false;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -292,6 +292,19 @@
   EXPECT_EQ(w.check.breach, "");
 }
 
+// Clients that leave freed a lone cold server for the next visit at once, though it may still work on the last.
+TEST(Cold, LoneServerRestsAfterAVisitIsCalledOff) {
+  World w({}, 1, 5);
+  w.entries[0].up_since = w.now - 1;
+  w.tell(ListKind::full, w.entries);
+  for (int i = 0; i < 20; ++i) {
+    w.leave(w.knock(0, 5000));
+    w.pass(20);
+  }
+  EXPECT_EQ(w.check.breach, "");
+  EXPECT_LE(w.sends[0], 2);
+}
+
 TEST(List, IsAskedForAgainAfterFailures) {
   World w({}, 2, 3);
   int asks = 0;
