--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -30,6 +30,7 @@
 constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
+constexpr double bench_silent = 3;     // times that, after a time-out: a trial there costs a whole visit
 constexpr double forgiven_ms = 10000;  // well for this long: relapses are forgotten
 constexpr double slow_prior = 2;       // outcomes' worth of doubt in that mean
 constexpr double kind_gain = 0.02;
@@ -50,10 +51,8 @@
 constexpr double crowd_times = 0.8;  // over the bound by this share, nothing is left to chance
 constexpr double mean_from = 0.75;   // of what is no crowd: from there on the mean out uses up chance
 constexpr double mean_span = 0.5;
-constexpr double room_util = 0.7;         // a tier less busy than this has more room, by as much,
-constexpr double room_util_most = 2;      // up to this
-constexpr double crowd_load = 4;          // times the calm load that a tier shows: as a time at the bound
-constexpr double calm_load_after = 2000;  // ms
+constexpr double room_util = 0.7;     // a tier less busy than this has more room, by as much,
+constexpr double room_util_most = 2;  // up to this
 constexpr double timely_least = 0.05;
 // Visits a server and tier from there down, of all instances, that are no crowd.
 constexpr double room_floor = 2;
@@ -301,7 +300,7 @@
   }
 
   // An outcome says something of this server: is it worse than its peers?
-  void judge(int i, bool failed, double now) {
+  void judge(int i, bool failed, bool slowly, double now) {
     auto& be = bes[i];
     fade(be, now);
     ++(failed ? be.bad : be.good);
@@ -325,8 +324,9 @@
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
     if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + bad_times * peers)) {
-      be.bench_until =
-          now + std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) * (0.8 + 0.4 * uniform());
+      be.bench_until = now + (slowly ? bench_silent : 1) *
+                                 std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) *
+                                 (0.8 + 0.4 * uniform());
       be.relapses = std::min(be.relapses + 1, 8);
       be.trial = true;
       be.good = be.bad = be.slow = be.seen = 0;
@@ -371,10 +371,9 @@
     double few = ready * part * room_floor * tiers / replicas;
     if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    // Chance is left out once the tier looks crowded: by times, by looks, or by the visits that servers
+    // Chance is left out once the tier looks crowded: by times, or by the visits that servers
     // report. What is given up on never shows its time: the delivered ones alone look quick in a jam.
     double over = calm > 0 ? late_took / bound / timely : 0;
-    if (calm_load > 0) over = std::max(over, usual_load / (crowd_load * calm_load));
     double full = (over - 1) / crowd_times;
     if (counts_visits) full = std::max(full, 2 * usual_load / (room_floor * tiers) - 1);
     double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
@@ -679,7 +678,7 @@
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
     bool sick = be.trial;
-    if (f.status != Status::full) judge(f.be, !ok, now);
+    if (f.status != Status::full) judge(f.be, !ok, f.status == Status::timeout, now);
     if (ok) judge_pace(be, p, now - f.sent);
     if (ok || !(sick || be.trial)) count(now, ok);
   }
@@ -764,7 +763,6 @@
       asked = true;
       asked_at = now;
     }
-    if (usual_load > 0 && !counts_visits && now - started > calm_load_after) settle(calm_load, usual_load);
     if (answers >= calm_after) settle(calm, mean_took);
     bool fuller = far_util > 0 ? near_util > std::max(zone_busy, zone_slower * far_util)
                                : near_took > zone_slower * far_took;
@@ -811,7 +809,7 @@
 
   bool probing = false, counts_visits = false;
   int column = -1;  // of the load reports, where answers carry them
-  double probes_due = 0, crowded = crowded_first, usual_load = 0, calm_load = 0;
+  double probes_due = 0, crowded = crowded_first, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, mean_out = 0, timely = 1;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
