--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -30,7 +30,6 @@
 constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
-constexpr double bench_silent = 3;     // times that, after a time-out: a trial there costs a whole visit
 constexpr double forgiven_ms = 10000;  // well for this long: relapses are forgotten
 constexpr double slow_prior = 2;       // outcomes' worth of doubt in that mean
 constexpr double kind_gain = 0.02;
@@ -300,7 +299,7 @@
   }
 
   // An outcome says something of this server: is it worse than its peers?
-  void judge(int i, bool failed, bool slowly, double now) {
+  void judge(int i, bool failed, double now) {
     auto& be = bes[i];
     fade(be, now);
     ++(failed ? be.bad : be.good);
@@ -324,9 +323,8 @@
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
     if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + bad_times * peers)) {
-      be.bench_until = now + (slowly ? bench_silent : 1) *
-                                 std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) *
-                                 (0.8 + 0.4 * uniform());
+      be.bench_until =
+          now + std::min(bench_most_ms, bench_ms * std::exp2(be.relapses)) * (0.8 + 0.4 * uniform());
       be.relapses = std::min(be.relapses + 1, 8);
       be.trial = true;
       be.good = be.bad = be.slow = be.seen = 0;
@@ -678,7 +676,7 @@
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
     bool sick = be.trial;
-    if (f.status != Status::full) judge(f.be, !ok, f.status == Status::timeout, now);
+    if (f.status != Status::full) judge(f.be, !ok, now);
     if (ok) judge_pace(be, p, now - f.sent);
     if (ok || !(sick || be.trial)) count(now, ok);
   }
