--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -98,6 +98,7 @@
 // The list.
 constexpr double tick_ms = 100;
 constexpr double ask_first_ms = 400;
+constexpr double ask_each_ms = 20;  // more for each instance of the tier
 constexpr double ask_base_ms = 500;
 constexpr double ask_silent_ms = 5000;  // an asking without an answer counts as failed after this
 
@@ -192,7 +193,8 @@
     crossing_costs = number("fees.cross_zone", 0) > 0;
     asks = word("discovery") == "subscribe";
     ask_within = number("rules.ask_within_ms", 10000);
-    ask_at = now + uniform() * ask_first_ms;
+    // Hundreds that start together would wear the list out; the one they start with serves meanwhile.
+    ask_at = now + uniform() * std::min(ask_first_ms + ask_each_ms * replicas, ask_within / 3);
   }
 
   // --- Settings -------------------------------------------------------------------------------------------
