--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -470,9 +470,8 @@
       if (candidates.empty()) return -1;
     }
     if (crossing_costs && uniform() >= spill) {
-      auto far = std::stable_partition(candidates.begin(), candidates.end(),
-                                       [this](int i) { return bes[i].zone == zone; });
-      if (far != candidates.begin()) candidates.erase(far, candidates.end());
+      auto far = [this](int i) { return bes[i].zone != zone; };
+      if (!std::all_of(candidates.begin(), candidates.end(), far)) std::erase_if(candidates, far);
     }
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
@@ -480,7 +479,8 @@
     int pick = looked(now, held);
     if (pick >= 0) return pick;
     for (int i : candidates)
-      if (held(i) < 0.5 && uniform() * (idle += pull(bes[i])) < pull(bes[i])) pick = i;
+      if (held(i) < 0.5)
+        if (double p = pull(bes[i]); uniform() * (idle += p) < p) pick = i;
     if (pick >= 0) return pick;
     for (int i : candidates) all += pull(bes[i]);
     int a = drawn(all), b = drawn(all);
@@ -501,10 +501,8 @@
         pick = i;
     }
     if (pick >= 0) return pick;
-    auto crowd = std::stable_partition(candidates.begin(), candidates.end(), [&](int i) {
-      return now - bes[i].looked_at >= fresh || bes[i].load <= usual_load;
-    });
-    if (crowd != candidates.begin()) candidates.erase(crowd, candidates.end());
+    auto crowd = [&](int i) { return now - bes[i].looked_at < fresh && bes[i].load > usual_load; };
+    if (!std::all_of(candidates.begin(), candidates.end(), crowd)) std::erase_if(candidates, crowd);
     return -1;
   }
 
