--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -60,6 +60,7 @@
 constexpr double spill_least = 0.03;
 constexpr double spill_up = 0.01;  // each tick
 constexpr double spill_down = 0.005;
+constexpr double spill_gain = 0.15;  // of what the own zone is busier
 constexpr double zone_busy = 0.5;
 constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
 
@@ -762,9 +763,12 @@
       asked_at = now;
     }
     if (answers >= calm_after) settle(calm, mean_took);
-    bool fuller = far_util > 0 ? near_util > std::max(zone_busy, zone_slower * far_util)
-                               : near_took > zone_slower * far_took;
-    if (crossing_costs) spill = std::clamp(spill + (fuller ? spill_up : -spill_down), spill_least, 1.0);
+    if (crossing_costs) {
+      // By how much busier the own zone is than it may be; by times it is only known whether.
+      double fuller = far_util > 0 ? near_util - std::max(zone_busy, zone_slower * far_util)
+                                   : (near_took > zone_slower * far_took ? spill_up / spill_gain : -1);
+      spill = std::clamp(spill + std::max(spill_gain * fuller, -spill_down), spill_least, 1.0);
+    }
     if (probing && !listed.empty()) choose_probes(c.probe, now);
     double warm = 0;
     int n = 0;
