--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -84,9 +84,13 @@
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
 // Looks: what probes and the load that answers carry tell of a server's visits.
-constexpr double probe_least = 1;  // probes a fetch; the first tier sends them
+constexpr double probe_least = 1;  // probes a fetch of the first tier
 constexpr double probe_more = 16;  // so many more for the share of looks that finds a crowd
 constexpr double probe_most = 2;
+constexpr double deep_least = 0.1;  // the same below the first tier, where they are paid for every call
+constexpr double deep_more = 10;    // for the share that finds a jam
+constexpr double deep_most = 1;
+constexpr double jam_times = 2;  // the mean time taken: what waits longer than that finds a jam
 constexpr double probes_at_once = 8;
 constexpr double crowded_times = 2;  // times the usual load
 constexpr double crowded_gain = 0.1;
@@ -517,6 +521,7 @@
       be.slow += look_weight * std::log(std::clamp(load / usual_load, look_low, look_high));
       be.seen += 1;
     }
+    jammed += crowded_gain * ((mean_took > 0 && load > jam_times * mean_took) - jammed);
     crowded += crowded_gain * ((usual_load > 0 && load > crowded_times * usual_load) - crowded);
     if (usual_load > 0)
       usual_load *= std::exp(load > usual_load ? usual_gain : -usual_gain);
@@ -538,7 +543,7 @@
     blend(be.zone == zone ? near_util : far_util, gauge.v[column], room_gain);
   }
 
-  // Probes for this tick. Own visits tell all to an instance that is alone, and the less the more there are.
+  // Probes for this tick, of servers not looked at lately.
   void choose_probes(std::vector<int>& chosen, double now) {
     for (probes_due = std::min(probes_due, probes_at_once); probes_due >= 1; probes_due -= 1) {
       int i = listed[rng() % listed.size()];
@@ -583,8 +588,11 @@
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
     ++out_all;
-    if (stage == 0)
-      probes_due += (1 - 1 / replicas) * std::min(probe_most, probe_least + probe_more * crowded);
+    // Looks are worth as much as own visits are stale: all where a server is met once in `evidence_ms`,
+    // little where it is met all the time, nothing to an instance that is alone.
+    double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * crowded)
+                             : std::min(deep_most, deep_least + deep_more * jammed);
+    probes_due += (1 - 1 / replicas) * std::min(1.0, 1 / (warm_rate * evidence_ms)) * rate;
     return {.kind = Answer::fetch, .be = i};
   }
 
@@ -811,7 +819,7 @@
 
   bool probing = false, counts_visits = false;
   int column = -1;  // of the load reports, where answers carry them
-  double probes_due = 0, crowded = crowded_first, usual_load = 0;
+  double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, mean_out = 0, timely = 1;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
