--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -97,8 +97,6 @@
 constexpr double crowded_first = 0.3;
 constexpr double usual_gain = 0.05;
 constexpr double look_most_ms = 2000;  // older looks count for nothing
-constexpr double look_weight = 0.5;    // against an answer, in how slow a server is
-constexpr double look_low = 0.5, look_high = 20;
 
 // The list.
 constexpr double tick_ms = 100;
@@ -516,11 +514,6 @@
   void look(Be& be, double load, double now) {
     be.load = load;
     be.looked_at = now;
-    if (usual_load > 0) {
-      fade(be, now);
-      be.slow += look_weight * std::log(std::clamp(load / usual_load, look_low, look_high));
-      be.seen += 1;
-    }
     jammed += crowded_gain * ((mean_took > 0 && load > jam_times * mean_took) - jammed);
     crowded += crowded_gain * ((usual_load > 0 && load > crowded_times * usual_load) - crowded);
     if (usual_load > 0)
