--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -221,6 +221,21 @@
   EXPECT_LE(sum_of(w.probes, 0, 40), 2 * sum_of(w.sends, 0, 40) + 8);
 }
 
+// A fifth of a deep tier stood; each caller met any one server of it every 23 s and sent there again and
+// again (incident ica4dd5). Few looks while all is well, more as they find jams.
+TEST(Looks, GrowDeepDownAsTheyFindJams) {
+  auto run = [](int jammed) {
+    World w({}, 100, 5, World::with(one_of_many, {{"stage", "1"}, {"stages", "a,b"}}));
+    w.probe_took = [=](int be) { return be < jammed ? 400.0 : 0.5; };
+    w.stream(0, 100, 60000, [=](int be) { return be < jammed ? 3000.0 : 80.0; });
+    return std::pair{sum_of(w.sends, 0, 20), sum_of(w.probes, 0, 100)};
+  };
+  auto [calm_sends, calm_probes] = run(0);
+  auto [jam_sends, jam_probes] = run(20);
+  EXPECT_LT(jam_sends, 0.6 * calm_sends);
+  EXPECT_GT(jam_probes, 2 * calm_probes);
+}
+
 // Where all visits are its own, an instance knows what its servers hold: looks would cost and tell nothing.
 TEST(Looks, AreNotTakenAlone) {
   World w({}, 10, 5, {{"limits.probes", "true"}, {"replicas_of_me", "1"}});
