--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -50,7 +50,7 @@
 constexpr double crowd_times = 0.8;  // over the bound by this share, nothing is left to chance
 constexpr double mean_from = 0.75;   // of what is no crowd: from there on the mean out uses up chance
 constexpr double mean_span = 0.5;
-constexpr double room_util = 0.7;     // a tier less busy than this has more room, by as much,
+constexpr double room_util = 0.6;     // a tier less busy than this has more room, by as much,
 constexpr double room_util_most = 2;  // up to this
 constexpr double timely_least = 0.05;
 // Visits a server and tier from there down, of all instances, that are no crowd.
