SIGHUP rereads the configuration and moves the watch to its discovery

Cause: signals.cpp blocked SIGTERM and SIGINT only, so the default action of SIGHUP ended the process; nothing reread the file, and DiscoveryClient kept the address of the start. Now SIGHUP is an event of the loop: the file is read again, its discovery is watched from then on, asked for the whole list first (its versions need not be those of the one before), and what is wrong with the file is one line while the old configuration stays. A list with a length over that of a visit's body is let through for watches. Other settings hold from the next start on and are said to.

--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -50,6 +50,13 @@
     read_limit(*limits, "sockets", into.descriptors, say);
     read_limit(*limits, "memory_mb", into.memory_mb, say);
   }
+  // A new configuration names discovery here: the variables are those of the start.
+  if (const auto* discovery = config->find("discovery")) {
+    const auto* dial = discovery->text();
+    auto at = dial ? transport::Address::parse(*dial) : std::nullopt;
+    if (!at) throw BadConfig("discovery is no address with a port");
+    into.discovery = *at;
+  }
   if (const auto* seed = config->find("seed")) {
     const auto* hex = seed->text();
     auto [end, bad] = hex ? std::from_chars(hex->data(), hex->data() + hex->size(), into.seed, 16)
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -1,4 +1,4 @@
-// What a balancer is told at its start: four variables and the file that one of them names.
+// What a balancer is told: four variables at its start, and the file that one of them names, again on SIGHUP.
 #pragma once
 
 #include <functional>
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -27,7 +27,16 @@
     setup.descriptors = std::min<std::size_t>(setup.descriptors, most.rlim_cur);
   transport::Loop loop;
   routing::Balancer* balancer = nullptr;
-  Signals signals(loop, [&] { balancer->wind_up(); });
+  auto reread = [&] {
+    // Whatever is wrong with the file, what is in use stays.
+    try {
+      balancer->reload(read_config(variable, log));
+    } catch (const std::exception& e) {
+      log(routing::Level::error, std::string("configuration not taken over: ") + e.what());
+    }
+  };
+  Signals signals(
+      loop, [&] { balancer->wind_up(); }, reread);
   routing::Balancer serving(loop, setup, std::ref(log));
   balancer = &serving;
   log(routing::Level::info, "serves on " + serving.address().text());
--- a/src/program/signals.cpp
+++ b/src/program/signals.cpp
@@ -8,11 +8,13 @@
 
 namespace meadow::program {
 
-Signals::Signals(transport::Loop& loop, std::function<void()> ended) : loop_(loop), ended_(std::move(ended)) {
+Signals::Signals(transport::Loop& loop, std::function<void()> ended, std::function<void()> reread)
+    : loop_(loop), ended_(std::move(ended)), reread_(std::move(reread)) {
   sigset_t set;
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   sigprocmask(SIG_BLOCK, &set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);  // also for standard error, whose reader may go
   fd_ = transport::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
@@ -24,7 +26,7 @@
 
 void Signals::ready(std::uint32_t) {
   signalfd_siginfo info;
-  while (read(fd_.get(), &info, sizeof info) == sizeof info) ended_();
+  while (read(fd_.get(), &info, sizeof info) == sizeof info) info.ssi_signo == SIGHUP ? reread_() : ended_();
 }
 
 }  // namespace meadow::program
--- a/src/program/signals.hpp
+++ b/src/program/signals.hpp
@@ -1,4 +1,4 @@
-// SIGTERM and SIGINT as events of the loop.
+// SIGTERM, SIGINT and SIGHUP as events of the loop.
 #pragma once
 
 #include <functional>
@@ -10,8 +10,8 @@
 
 class Signals final : transport::Ready {
  public:
-  // Blocks the signals for this process; `ended` is called when one comes.
-  Signals(transport::Loop& loop, std::function<void()> ended);
+  // Blocks the signals for this process; `ended` is called for an end, `reread` for SIGHUP.
+  Signals(transport::Loop& loop, std::function<void()> ended, std::function<void()> reread);
   ~Signals();
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
@@ -19,7 +19,7 @@
  private:
   void ready(std::uint32_t events) override;
   transport::Loop& loop_;
-  std::function<void()> ended_;
+  std::function<void()> ended_, reread_;
   transport::Fd fd_;
   std::uint64_t token_ = 0;
 };
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -110,7 +110,8 @@
       reports_(word(setup.settings, "report.how") != "off"),
       leave_ms_(setup.leave_ms),
       tick_at_(now_),
-      sweep_at_(now_) {
+      sweep_at_(now_),
+      settings_(setup.settings) {
   for (std::size_t i = 0; i < prefixes_.size(); ++i) {
     timeouts_.push_back(number(setup.settings,
                                std::string("path_prefixes.").append(std::to_string(i)) + ".client_timeout_ms",
@@ -346,6 +347,12 @@
 
 void Balancer::released(Job job) { hands_.erase(job); }
 
+void Balancer::reload(const Setup& setup) {
+  say_(Level::info, "configuration read again: discovery at " + setup.discovery.text());
+  if (setup.settings != settings_) say_(Level::info, "changed settings hold from the next start on");
+  discovery_.move(setup.discovery);
+}
+
 // --- A planned end -------------------------------------------------------------------------------------
 
 void Balancer::wind_up() {
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -38,6 +38,8 @@
   void run();
   // A planned end: serves on for a while, then answers what it has and stops.
   void wind_up();
+  // A new configuration: the watch moves to its discovery. All else holds from the next start on.
+  void reload(const Setup& setup);
 
  private:
   struct Hand {  // a visit's client, and its bytes as long as a fetch may need them
@@ -99,6 +101,7 @@
   std::vector<Command> commands_;
   std::vector<Entry> entries_;
   double tick_at_, sweep_at_;
+  Settings settings_;
   Phase phase_ = Phase::serving;
   double phase_until_ = transport::DueTimes::none, over_at_ = transport::DueTimes::none;
 };
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -18,6 +18,9 @@
 namespace {
 // A sign of life comes every 2 s; without one the watch is taken up anew.
 constexpr double silent_ms = 7000;
+// The agent is on this machine: if a whole list is not here by then it is asked for again.
+constexpr double answer_ms = 1500;
+constexpr std::size_t longest_list = protocol::Lines::longest;
 constexpr double first_retry_ms = 100, last_retry_ms = 2000;
 }  // namespace
 
@@ -41,9 +44,25 @@
   if (!fd) return lost(std::strerror(errno));
   stream_ = std::make_unique<Stream>(loop_, pool_, std::move(fd), *this);
   up_ = false;
+  due_.set(due_key(due_kind, 0), due_at_, now_ + (whole_ ? answer_ms : silent_ms));
+}
+
+void DiscoveryClient::move(transport::Address agent) {
+  drop();
+  agent_ = std::move(agent);
+  // Its versions need not be those of the one before, nor tell of what left in between.
+  whole_ = true;
+  failures_ = 0;
+  connect();
+}
+
+bool DiscoveryClient::ask() {
   answer_.reset();
   lines_ = {};
-  due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms);
+  list_.clear();
+  std::string target(protocol::names::list);
+  if (!whole_) target.append("?watch=1&after=").append(std::to_string(after_));
+  return protocol::write_get(stream_->out(), agent_.text(), target);
 }
 
 void DiscoveryClient::fell_due() {
@@ -59,24 +78,34 @@
     if (!(events & (EPOLLOUT | EPOLLERR | EPOLLHUP))) return;
     if (int error = stream_->dial_error()) return lost(std::strerror(error));
     up_ = true;
-    std::string target(protocol::names::list);
-    target.append("?watch=1&after=").append(std::to_string(after_));
-    if (!protocol::write_get(stream_->out(), agent_.text(), target)) return lost("out of buffers");
+    if (!ask()) return lost("out of buffers");
   }
   if (!stream_->flush()) return lost("the connection broke");
   for (;;) {
     auto got = stream_->fill();
     if (got == Stream::Got::nothing) return;
     if (got != Stream::Got::bytes) return lost("the connection ended");
-    due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms);
+    if (!whole_) due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms);
     stream_->consume(answer_.feed(stream_->bytes()));
     if (answer_.fault() != protocol::Fault::none) return lost("the answer makes no sense");
     if (answer_.head_whole()) {
       if (answer_.status() != 200)
         return lost(std::string("status ").append(std::to_string(answer_.status())));
-      lines_.feed(answer_.take_body(), [this](std::string_view line) { heard(line); });
+      if (whole_)
+        list_ += answer_.take_body();
+      else
+        lines_.feed(answer_.take_body(), [this](std::string_view line) { heard(line); });
+      if (list_.size() > longest_list) return lost("the list is too long");
+    }
+    if (!answer_.whole()) continue;
+    if (!whole_) return lost("the watch ended");
+    listed();
+    if (whole_) return lost("no list came");
+    if (!answer_.keep_alive()) {
+      drop();
+      return connect();
     }
-    if (answer_.whole()) return lost("the watch ended");
+    if (!ask() || !stream_->flush()) return lost("the connection broke");
   }
 }
 
@@ -92,12 +121,24 @@
   news_.push_back(std::move(listing));
 }
 
+// The whole list that was asked for has come: the watch goes on from it.
+void DiscoveryClient::listed() {
+  auto before = news_.size();
+  heard(list_);
+  if (news_.size() == before) return;
+  news_.back()->whole = true;
+  whole_ = false;
+}
+
+void DiscoveryClient::drop() {
+  if (!stream_) return;
+  stream_->close();
+  buried_.push_back(std::move(stream_));
+}
+
 void DiscoveryClient::lost(std::string_view why) {
   say_(failures_ == 0 ? Level::info : Level::debug, std::string("discovery: ").append(why));
-  if (stream_) {
-    stream_->close();
-    buried_.push_back(std::move(stream_));
-  }
+  drop();
   double wait = std::min(first_retry_ms * std::exp2(failures_), last_retry_ms);
   failures_ = std::min(failures_ + 1, 10);
   wait *= 0.75 + 0.5 * static_cast<double>(rng_() % 1000) / 1000;
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -25,6 +25,8 @@
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
 
   void connect();
+  // Watches that agent from now on, and asks it for the whole list first.
+  void move(transport::Address agent);
   void fell_due();
   void bury() { buried_.clear(); }
 
@@ -33,7 +35,10 @@
 
  private:
   void ready(std::uint32_t events) override;
+  bool ask();
   void heard(std::string_view line);
+  void listed();
+  void drop();
   void lost(std::string_view why);
 
   transport::Loop& loop_;
@@ -41,12 +46,14 @@
   transport::DueTimes& due_;
   const double& now_;
   transport::Address agent_;
-  std::int64_t after_;
+  std::int64_t after_;  // the version that the watch goes on from
   std::minstd_rand rng_;
   Say say_;
   std::unique_ptr<transport::Stream> stream_;
   std::vector<std::unique_ptr<transport::Stream>> buried_;
   bool up_ = false;
+  bool whole_ = false;  // the whole list is wanted before the watch
+  std::string list_;    // as much of it as has come
   protocol::Message answer_;
   protocol::Lines lines_;
   int failures_ = 0;
