A planned end serves on for the longest client timeout instead of 0.45 s

The log showed the cause: a balancer told to end closed its idle connections after 0.45 s and was gone 1.0 s after SIGTERM, 2.7 s before it would have been killed, with nobody else in its zone for its clients (balancer.cpp, wind_up; the default in main.cpp).

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -19,7 +19,7 @@
   return v ? std::optional<std::string>(v) : std::nullopt;
 }
 
-int serve(Log& log, double leave_ms) {
+int serve(Log& log, std::optional<unsigned> leave_ms) {
   auto setup = read_config(variable, log);
   setup.leave_ms = leave_ms;
   rlimit most{};
@@ -61,8 +61,8 @@
                      "serve: balance; check: read the configuration and say what is wrong; version",
                      cxxopts::value<std::string>()->default_value("serve"))(
           "log-level", "debug, info, warning or error", cxxopts::value<std::string>()->default_value("info"))(
-          "leave-ms", "how long to go on taking new connections after SIGTERM",
-          cxxopts::value<unsigned>()->default_value("450"))("h,help", "this text");
+          "leave-ms", "how long to serve on after SIGTERM (the longest client timeout, 3000 at most)",
+          cxxopts::value<unsigned>())("h,help", "this text");
   options.parse_positional({"command"});
   try {
     auto given = options.parse(argc, argv);
@@ -78,7 +78,11 @@
     auto level = level_of(given["log-level"].as<std::string>());
     if (!level) throw BadConfig("--log-level knows debug, info, warning and error");
     Log log(std::cerr, *level, variable("GW_NAME").value_or("-"));
-    if (command == "serve") return serve(log, given["leave-ms"].as<unsigned>());
+    if (command == "serve") {
+      std::optional<unsigned> leave_ms;
+      if (given.count("leave-ms")) leave_ms = given["leave-ms"].as<unsigned>();
+      return serve(log, leave_ms);
+    }
     if (command == "check") return check(log);
     throw BadConfig("unknown command " + command + ": serve, check or version");
   } catch (const std::exception& e) {
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -243,6 +243,11 @@
   if (it == jobs_.end()) return;  // its answer is on the way
   auto job = it->second;
   jobs_.erase(it);
+  say_(Level::debug, std::string("visit ").append(std::to_string(job)) + ": its client has gone; out at" +
+                         visits_.where_out(job, [this](int be, double since) {
+                           return " " + upstreams_.name(be) + " for " +
+                                  std::to_string(std::lround(now_ - since)) + " ms";
+                         }));
   visits_.left(job, now_);
   clients_.answer(client, 500, "", "");  // for one that still listens
 }
@@ -331,12 +336,15 @@
 }
 
 void Balancer::bounce(Job job, double retry_after) {
+  say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": bounced with ") +
+                         std::to_string(visits_.size()) + " in hand");
   commands_.push_back(
       {.kind = Command::bounce, .job = job, .value = retry_after, .client = answering(job), .status = 503});
 }
 
 void Balancer::error(Job job) {
   int status = hands_.at(job).last;
+  say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": errored"));
   commands_.push_back(
       {.kind = Command::error, .job = job, .client = answering(job), .status = status > 0 ? status : 500});
 }
@@ -359,7 +367,9 @@
   if (phase_ != Phase::serving) return;
   say_(Level::info, "ending: serves on for a while");
   phase_ = Phase::leaving;
-  phase_until_ = now_ + leave_ms_;
+  // Clients go on using what they have open, and the front may have nobody else for them: to close early
+  // would turn away visits that there is time to serve.
+  phase_until_ = now_ + leave_ms_.value_or(std::min(longest_timeout_, over_most_ms));
   over_at_ = now_ + std::min(longest_timeout_, over_most_ms) + over_after_ms;
 }
 
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,8 +24,8 @@
   std::uint64_t seed = 1;
   std::size_t descriptors = 1024;
   std::size_t memory_mb = 192;
-  // From SIGTERM on, for so long new connections go on coming.
-  double leave_ms = 450;
+  // So long it serves on after SIGTERM; unless told, the longest client timeout, up to a bound.
+  std::optional<double> leave_ms;
   Settings settings;
   protocol::Listing known;
 };
@@ -93,7 +94,7 @@
   std::vector<std::string_view> columns_;
   double most_held_, longest_timeout_ = 0;
   bool reports_;
-  double leave_ms_;
+  std::optional<double> leave_ms_;
 
   std::unordered_map<Job, Hand> hands_;
   std::unordered_map<ClientId, Job> jobs_;
--- a/src/routing/visits.hpp
+++ b/src/routing/visits.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 
 #include "brain/brain.hpp"
@@ -46,6 +47,16 @@
   // Whether this visit still waits for its final answer.
   [[nodiscard]] bool unanswered(Job job) const;
   [[nodiscard]] std::size_t size() const { return held_.size(); }
+  // For the log: where its fetches are out, in the caller's words.
+  template <class F>
+  [[nodiscard]] std::string where_out(Job job, F&& words) const {
+    std::string all;
+    if (auto it = held_.find(job); it != held_.end())
+      for (int i = 0; i < it->second.visit.sent; ++i)
+        if (const auto& f = it->second.visit.fetches[static_cast<std::size_t>(i)]; f.out)
+          all += words(f.be, f.sent);
+    return all;
+  }
 
  private:
   struct Held {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -187,8 +187,8 @@
   int upstreams = 2;
   std::string settings = {};  // more of them
   int sockets = 256;
-  int taken = 0;  // descriptors that the process has to begin with, of 60 then
-  std::string leave_ms = "450";
+  int taken = 0;                 // descriptors that the process has to begin with, of 60 then
+  std::string leave_ms = "450";  // empty: as it is by itself
 };
 
 // The program, running, with its upstreams and discovery in the test's hands.
@@ -285,7 +285,9 @@
       setenv("GW_LISTEN", "127.0.0.1:0", 1);
       setenv("GW_DISCOVERY", agent.c_str(), 1);
       setenv("GW_CONFIG", config_.c_str(), 1);
-      execl(MEADOWGAUGE_PROGRAM, "meadowgauge", "serve", "--leave-ms", o.leave_ms.c_str(), nullptr);
+      auto leave = "--leave-ms=" + o.leave_ms;
+      execl(MEADOWGAUGE_PROGRAM, "meadowgauge", "serve", o.leave_ms.empty() ? nullptr : leave.c_str(),
+            nullptr);
       _exit(127);
     }
     ::close(ends[1]);
@@ -827,6 +829,20 @@
   EXPECT_EQ(s.exit_status(), 0);
 }
 
+// The front may have nobody else for those that are connected: they are served for as long as there is time.
+TEST(Service, APlannedEndServesOnForTheLongestClientTimeout) {
+  Service s({.upstreams = 1, .leave_ms = ""});
+  auto client = s.connect();
+  client.say(visit("/pay"));
+  auto up = answered(s.upstreams[0], ok);
+  EXPECT_EQ(status_of(client.hear()), 200);
+  auto from = Clock::now();
+  s.terminate();
+  EXPECT_TRUE(client.ended());
+  EXPECT_GT(Clock::now() - from, std::chrono::milliseconds(2800));
+  EXPECT_EQ(s.exit_status(), 0);
+}
+
 TEST(Service, APlannedEndGivesUpInTimeOnWhatIsNeverAnswered) {
   Service s({.upstreams = 1});
   auto client = s.connect();
