--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -31,7 +31,7 @@
 // Cuts a watch into lines. A line longer than the bound is dropped whole.
 class Lines {
  public:
-  static constexpr std::size_t longest = 8 << 20;
+  static constexpr std::size_t longest = 2 << 20;
   template <class F>
   void feed(std::string_view in, F&& line) {
     while (!in.empty()) {
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -37,6 +37,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 408:
       return "Request Timeout";
     case 413:
@@ -90,6 +92,11 @@
   return {};
 }
 
+int Message::count(std::string_view name) const {
+  return static_cast<int>(
+      std::count_if(fields_.begin(), fields_.end(), [&](const Field& f) { return same_word(f.name, name); }));
+}
+
 bool Message::listed(std::string_view field, std::string_view word) const {
   return std::any_of(fields_.begin(), fields_.end(),
                      [&](const Field& f) { return same_word(f.name, field) && holds_word(f.value, word); });
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -56,6 +56,7 @@
   [[nodiscard]] const std::vector<Field>& fields() const { return fields_; }
   // The first of that name; empty where there is none.
   [[nodiscard]] std::string_view find(std::string_view name) const;
+  [[nodiscard]] int count(std::string_view name) const;
   [[nodiscard]] bool keep_alive() const;
   [[nodiscard]] std::size_t body_size() const { return bytes_.size() - head_size_; }
   template <class F>
--- a/src/protocol/names.hpp
+++ b/src/protocol/names.hpp
@@ -9,6 +9,8 @@
 inline constexpr std::string_view tenant = "X-Caller";
 inline constexpr std::string_view budget = "X-Budget-Ms";
 inline constexpr std::string_view again = "X-Again";
+inline constexpr std::string_view key = "Idempotency-Key";
+inline constexpr std::string_view figures = "X-Call-Info";
 inline constexpr std::string_view load_report = "X-Load-Report";
 inline constexpr std::string_view never_ran = "X-Rejected";
 
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -10,6 +10,7 @@
 namespace meadow::routing {
 
 using protocol::Message;
+using protocol::same_word;
 using transport::DueTimes;
 namespace names = protocol::names;
 
@@ -24,6 +25,7 @@
 constexpr double over_after_ms = 550, over_most_ms = 3000;
 // Between an answer's last byte written here and taken at the client.
 constexpr double own_delay_ms = 2;
+constexpr std::uint32_t most_budget_ms = 3600000;
 constexpr FetchId probe_bit = FetchId{1} << 55;
 constexpr int fetch_bits = 3;
 static_assert(most_fetches <= 1 << fetch_bits);
@@ -96,9 +98,10 @@
       upstreams_(loop, pool_, due_, now_,
                  {.dial_ms = number(setup.settings, "limits.dial_timeout_ms", 1000, say_),
                   .idle_ms = number(setup.settings, "limits.conn_idle_ms", 30000, say_),
+                  .settle_ms = number(setup.settings, "limits.settle_ms", 20, say_),
                   .most = part(setup.descriptors, upstream_part)},
-                 say_, [this] { return clients_.shed(); }),
-      clients_(loop, pool_, setup.listen, now_, part(setup.descriptors, client_part),
+                 say_, [this] { return clients_.shed(true); }),
+      clients_(loop, pool_, due_, setup.listen, now_, part(setup.descriptors, client_part),
                part(setup.descriptors, beyond_part)),
       discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_),
       prefixes_(names_of(setup.settings, "path_prefixes")),
@@ -117,6 +120,8 @@
                                std::string("path_prefixes.").append(std::to_string(i)) + ".client_timeout_ms",
                                10000, say_));
     longest_timeout_ = std::max(longest_timeout_, timeouts_.back());
+    repeats_.emplace_back(
+        word(setup.settings, std::string("path_prefixes.").append(std::to_string(i)) + ".repeat"));
   }
   for (std::string_view left = columns_text_; !left.empty();) {
     columns_.push_back(left.substr(0, left.find(',')));
@@ -160,6 +165,9 @@
       case DiscoveryClient::due_kind:
         discovery_.fell_due();
         break;
+      case Clients::due_kind:
+        clients_.fell_due(transport::number_of(*key));
+        break;
       default:
         upstreams_.fell_due(*key);
     }
@@ -213,8 +221,8 @@
   auto first = path.substr(1, path.substr(1).find('/'));
   int prefix = place_in(prefixes_, first);
   // Whether it may be repeated is not known then: nothing is sent anywhere.
-  if (prefix < 0) return clients_.answer(c.client, 404, "", "no such path prefix\n");
-  if (m.find(names::id).empty()) return clients_.answer(c.client, 400, "", "the visit has no id\n");
+  if (prefix < 0) return clients_.refuse(c.client, 404);
+  if (int status = wrong_with(m, static_cast<std::size_t>(prefix))) return clients_.refuse(c.client, status);
   // No room to hold it, whatever might be decided: told at once.
   if (static_cast<double>(hands_.size()) >= most_held_ || jobs_.size() >= clients_.most())
     return clients_.answer(c.client, 503, "", "");
@@ -225,11 +233,34 @@
           .due = now_ + std::clamp(budget, 0.0, 1e7) - own_delay_ms,
           .repeat = m.find(names::again) == "1"};
   auto job = next_job_++;
+  open_.insert(m.find(names::id));
   hands_.emplace(job, Hand{.client = c.client, .visit = std::move(c.request)});
   jobs_[c.client] = job;
   visits_.arrived(job, v, now_);
 }
 
+// Nothing is guessed at: what one reader takes for a visit another might take for a different one, and a
+// default in place of a budget that can't be read served clients that had asked for nothing of the kind.
+int Balancer::wrong_with(const Message& m, std::size_t prefix) const {
+  for (auto name : {names::id, names::tenant, names::budget, names::again, names::key, names::figures})
+    if (m.count(name) > 1) return 400;
+  // One that names these as its hop's own would have them dropped on the way.
+  for (const auto& f : m.fields())
+    if ((same_word(f.name, names::id) || same_word(f.name, names::key)) && !m.passes_on(f)) return 400;
+  auto id = m.find(names::id);
+  if (id.empty()) return 400;
+  if (open_.contains(id)) return 409;
+  bool readlike = repeats_[prefix] == "idempotent", tagged = repeats_[prefix] == "deduplicated";
+  if (m.method() != (readlike ? "GET" : "POST")) return 405;
+  if (readlike && m.body_size() > 0) return 400;
+  if (tagged ? m.find(names::key).empty() : m.count(names::key) > 0) return 400;
+  if (m.count(names::budget) == 0) return 0;
+  auto text = m.find(names::budget);
+  std::uint32_t ms = 0;
+  auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), ms);
+  return bad == std::errc{} && end == text.data() + text.size() && ms <= most_budget_ms ? 0 : 400;
+}
+
 void Balancer::own(const Call& c) {
   auto path = c.request->target().substr(0, c.request->target().find('?'));
   if (path != names::own_ready) return clients_.answer(c.client, 404, "", "");
@@ -243,6 +274,7 @@
   if (it == jobs_.end()) return;  // its answer is on the way
   auto job = it->second;
   jobs_.erase(it);
+  open_.erase(hands_.at(job).visit->find(names::id));
   say_(Level::debug, std::string("visit ").append(std::to_string(job)) + ": its client has gone; out at" +
                          visits_.where_out(job, [this](int be, double since) {
                            return " " + upstreams_.name(be) + " for " +
@@ -255,7 +287,8 @@
 void Balancer::ended(Ending& e) {
   Gauge gauge;
   if (e.answer && !columns_.empty()) {
-    std::string text(e.answer->find(names::load_report));
+    std::string text(e.answer->count(names::load_report) == 1 ? e.answer->find(names::load_report)
+                                                              : std::string_view{});
     if (text.empty() && e.fetch & probe_bit) text = e.answer->take_body();
     auto report = protocol::read_load_report(text, columns_);
     gauge = {.n = report.n, .v = report.v};
@@ -286,8 +319,22 @@
 void Balancer::list(ListKind kind, const protocol::Listing& listing) {
   entries_.clear();
   std::vector<bool> there(upstreams_.size());
+  auto gone = [this](int be) {
+    upstreams_.depart(be);
+    entries_.push_back({.be = be, .standing = Standing::gone});
+  };
   for (const auto& h : listing.hosts) {
-    int be = upstreams_.index_of(h.name);
+    bool left = h.health == protocol::Host::Health::left;
+    int be = left ? upstreams_.find(h.name) : upstreams_.index_of(h.name);
+    if (be < 0) continue;
+    // An address has one process: under a new name the one before is gone, though the list may say so later.
+    // Sent on to the old name, its visits would have met the new one cold.
+    int other = left ? -1 : upstreams_.holder(h.dial);
+    if (other >= 0 && other != be && upstreams_.born(other) < h.born_ms) gone(other);
+    if (left || (other >= 0 && other != be && upstreams_.born(other) > h.born_ms)) {
+      gone(be);
+      continue;
+    }
     if (static_cast<std::size_t>(be) >= there.size()) there.resize(static_cast<std::size_t>(be) + 1);
     there[static_cast<std::size_t>(be)] = true;
     bool active = h.health == protocol::Host::Health::active;
@@ -297,9 +344,7 @@
                         .sku = place_in(kinds_, h.kind),
                         // Without one it shares its block with nobody.
                         .pod = h.block >= 0 ? h.block : -1 - be,
-                        .standing = active                                        ? Standing::ready
-                                    : h.health == protocol::Host::Health::leaving ? Standing::draining
-                                                                                  : Standing::gone,
+                        .standing = active ? Standing::ready : Standing::draining,
                         .weight = h.share,
                         .up_since = h.born_ms});
   }
@@ -318,17 +363,20 @@
   for (int be : c.probe) commands_.push_back({.kind = Command::probe, .be = be});
   for (const auto& line : c.lines) say_(Level::info, line);
   upstreams_.close_idle();
+  clients_.sweep();
   if (now_ < sweep_at_) return;
   sweep_at_ = now_ + sweep_every_ms;
-  clients_.sweep();
+  upstreams_.reap([this](int be) { return visits_.uses(be); });
+  pool_.trim();
 }
 
 // --- What the module answers ---------------------------------------------------------------------------
 
 ClientId Balancer::answering(Job job) {
-  auto client = hands_.at(job).client;
-  jobs_.erase(client);
-  return client;
+  const auto& hand = hands_.at(job);
+  jobs_.erase(hand.client);
+  open_.erase(hand.visit->find(names::id));
+  return hand.client;
 }
 
 void Balancer::send(Job job, int number, int be, double limit) {
@@ -384,6 +432,7 @@
   if (now_ >= over_at_ && !jobs_.empty()) {
     say_(Level::warning, std::string("ending: visits given up: ").append(std::to_string(jobs_.size())));
     for (auto [client, job] : std::exchange(jobs_, {})) {
+      open_.erase(hands_.at(job).visit->find(names::id));
       visits_.left(job, now_);
       clients_.answer(client, 500, "", "");
     }
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "brain/brain.hpp"
@@ -68,6 +69,8 @@
   void hand_over();  // what was gathered goes to the module
   void carry_out();  // what the module answered
   void call(Call& c);
+  // The status that turns a visit away which can't be meant as it stands; 0: nothing is wrong with it.
+  [[nodiscard]] int wrong_with(const protocol::Message& m, std::size_t prefix) const;
   void own(const Call& c);
   void gone(ClientId client);
   ClientId answering(Job job);
@@ -88,6 +91,7 @@
   Clients clients_;
   DiscoveryClient discovery_;
 
+  std::vector<std::string> repeats_;  // of the path prefixes, in the settings' words
   std::vector<std::string> prefixes_, tenants_, zones_, kinds_;
   std::vector<double> timeouts_;
   std::string columns_text_;
@@ -98,6 +102,7 @@
 
   std::unordered_map<Job, Hand> hands_;
   std::unordered_map<ClientId, Job> jobs_;
+  std::unordered_set<std::string_view> open_;  // ids of visits without an answer, in their hands' bytes
   Job next_job_ = 1;
   std::vector<Command> commands_;
   std::vector<Entry> entries_;
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -3,6 +3,7 @@
 #include <sys/epoll.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace meadow::routing {
 
@@ -12,11 +13,18 @@
 
 namespace {
 constexpr int reads_a_turn = 8;
-// A request that is not whole, or an answer that is not taken, for this long ends the connection.
-constexpr double slow_ms = 30000;
-// After a last answer the other side has this long to end the connection: closed at once, with bytes of its
-// own on the way, it might lose the answer.
+// From connecting, or from a later visit's first byte, until the visit is whole. Callers are near: what takes
+// longer is fed drop by drop, or silent, and holds a descriptor that others wait for.
+constexpr double whole_ms = 2500;
+// An answer that is not taken for this long ends the connection.
+constexpr double take_ms = 10000;
+// After a last answer the other side has this long, and this much more to say, until it ends the connection:
+// closed at once, with bytes of its own on the way, it might lose the answer.
 constexpr double linger_ms = 1000;
+constexpr std::size_t linger_bytes = 256 * 1024;
+// Not shed for this long after connecting: silent, or with a visit begun.
+constexpr double fresh_ms = 250, begun_ms = 1000;
+constexpr int most_looks = 16;  // at sockets, for one that can be shed
 }  // namespace
 
 struct Clients::Conn final : transport::Ready {
@@ -32,12 +40,21 @@
   State state = State::reading;
   std::unique_ptr<Message> request;
   bool keep = true, head_only = false, gone = false, promised = false;
-  double since = 0;  // the last step
+  bool proven = false;  // has sent a whole visit
+  std::size_t drained = 0;
+  double due = transport::DueTimes::none;
+  std::optional<Place> place;  // among the spares
 };
 
-Clients::Clients(transport::Loop& loop, transport::Pool& pool, const transport::Address& listen,
-                 const double& now, std::size_t most, std::size_t beyond)
-    : loop_(loop), pool_(pool), now_(now), most_(most), beyond_(beyond), listener_(loop, listen, *this) {}
+Clients::Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
+                 const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond)
+    : loop_(loop),
+      pool_(pool),
+      due_(due),
+      now_(now),
+      most_(most),
+      beyond_(beyond),
+      listener_(loop, listen, *this) {}
 
 Clients::~Clients() = default;
 
@@ -64,10 +81,25 @@
     if (!fd) return;
     auto id = next_++;
     auto& c = *conns_.emplace(id, std::make_unique<Conn>(*this, id, std::move(fd))).first->second;
-    c.since = now_;
+    allow(c, whole_ms);
+    spare(c, Spare::unproven);
   }
 }
 
+// The time it has for what comes next.
+void Clients::allow(Conn& c, double ms) { due_.set(transport::due_key(due_kind, c.id), c.due, now_ + ms); }
+
+void Clients::spare(Conn& c, Spare how) {
+  keep(c);
+  c.place = Place{how, now_, c.id};
+  spares_.insert(*c.place);
+}
+
+void Clients::keep(Conn& c) {
+  if (c.place) spares_.erase(*c.place);
+  c.place.reset();
+}
+
 void Clients::ready(Conn& c, std::uint32_t events) {
   switch (c.state) {
     case Conn::State::reading:
@@ -82,22 +114,33 @@
       sent(c);
       break;
     case Conn::State::lingering:
-      for (;;) {
-        auto got = c.stream.fill();
-        if (got == Stream::Got::nothing) return;
-        if (got != Stream::Got::bytes) return close(c);
-        c.stream.consume(c.stream.bytes().size());
-      }
+      return drain(c);
     case Conn::State::closed:
       break;
   }
 }
 
+// What still comes after a last answer is dropped, up to a bound: some send at full speed without end.
+void Clients::drain(Conn& c) {
+  for (int i = 0; i < reads_a_turn; ++i) {
+    c.drained += c.stream.bytes().size();
+    c.stream.consume(c.stream.bytes().size());
+    if (c.drained > linger_bytes) return close(c);
+    auto got = c.stream.fill();
+    if (got == Stream::Got::nothing) return;
+    if (got != Stream::Got::bytes) return close(c);
+  }
+  c.stream.again(EPOLLIN);
+}
+
 void Clients::read(Conn& c) {
   for (int i = 0; i < reads_a_turn; ++i) {
     while (!c.stream.bytes().empty()) {
       if (!c.request) c.request = std::make_unique<Message>(pool_, Message::Kind::request);
-      if (!c.request->started()) c.since = now_;
+      if (!c.request->started() && c.proven) {
+        keep(c);
+        allow(c, whole_ms);
+      }
       c.stream.consume(c.request->feed(c.stream.bytes()));
       if (c.request->fault() != Fault::none) return refuse(c, static_cast<int>(c.request->fault()));
       if (c.request->whole()) return called(c);
@@ -119,14 +162,20 @@
   c.keep = c.request->keep_alive();
   c.head_only = c.request->method() == "HEAD";
   c.promised = false;
-  c.since = now_;
+  c.proven = true;
+  keep(c);
+  due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
   calls_.push_back({.client = c.id, .request = std::move(c.request)});
 }
 
 void Clients::refuse(Conn& c, int status) {
   c.state = Conn::State::in_hand;
-  c.keep = false;
-  answer(c.id, status, "", "");
+  refuse(c.id, status);
+}
+
+void Clients::refuse(ClientId id, int status) {
+  if (auto it = conns_.find(id); it != conns_.end()) it->second->keep = false;
+  answer(id, status, "", "");
 }
 
 bool Clients::last_answer(const Conn& c) const { return !c.keep || winding_up_ || c.gone; }
@@ -153,6 +202,8 @@
     written = protocol::write_own(c.stream.out(), 500, "", "", true);
   }
   c.state = Conn::State::answering;
+  keep(c);
+  allow(c, take_ms);
   if (!written) return close(c);
   sent(c);
 }
@@ -161,51 +212,55 @@
 void Clients::sent(Conn& c) {
   if (!c.stream.flush()) return close(c);
   if (!c.stream.flushed()) return;
-  c.since = now_;
   if (last_answer(c)) {
     c.state = Conn::State::lingering;
     c.stream.end_sending();
-    return ready(c, 0);
+    allow(c, linger_ms);
+    spare(c, Spare::lingering);
+    return drain(c);
   }
   c.state = Conn::State::reading;
+  due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
+  spare(c, Spare::resting);
   read(c);
 }
 
 void Clients::sweep() {
-  std::vector<Conn*> late;
-  for (auto& [id, c] : conns_) {
-    bool midway = c->state == Conn::State::answering ||
-                  (c->state == Conn::State::reading && c->request && c->request->started());
-    if ((midway && now_ - c->since > slow_ms) ||
-        (c->state == Conn::State::lingering && now_ - c->since > linger_ms))
-      late.push_back(c.get());
-  }
-  for (auto* c : late) {
-    if (c->state == Conn::State::reading)
-      refuse(*c, 408);
-    else
-      close(*c);
-  }
   if (starved_) accept_all();
 }
 
+void Clients::fell_due(ClientId id) {
+  auto& c = *conns_.at(id);
+  if (c.state == Conn::State::reading && c.request && c.request->started()) return refuse(c, 408);
+  close(c);
+}
+
 // Between requests, with nothing of a next one here.
 bool Clients::idle(const Conn& c) {
   return c.state == Conn::State::reading && !(c.request && c.request->started()) &&
          c.stream.bytes().empty() && c.stream.quiet();
 }
 
-// Closes the connection that has been idle longest; false: none is idle.
-bool Clients::shed() {
-  Conn* oldest = nullptr;
-  auto earlier = [](const Conn& a, const Conn& b) {
-    return std::pair(a.since, a.id) < std::pair(b.since, b.id);
-  };
-  for (auto& [id, c] : conns_)
-    if ((!oldest || earlier(*c, *oldest)) && (c->state == Conn::State::lingering || idle(*c)))
-      oldest = c.get();
-  if (oldest) close(*oldest);
-  return oldest != nullptr;
+bool Clients::shed(bool at_once) {
+  int looks = 0;
+  for (auto it = spares_.begin(); it != spares_.end() && looks < most_looks;) {
+    const auto& [how, since, id] = *it;
+    // A flood of connections would push out, in one batch, a client whose visit is on its way.
+    if (how == Spare::unproven && !at_once && now_ - since < fresh_ms) {
+      it = spares_.lower_bound(Place{Spare::lingering, 0, 0});
+      continue;
+    }
+    auto& c = *conns_.at(id);
+    // With something unread there may be a visit in it, and what has begun may be about to be whole.
+    bool begun = c.request && c.request->started() && now_ - since < begun_ms;
+    if (how == Spare::lingering || (!begun && c.stream.quiet())) {
+      close(c);
+      return true;
+    }
+    ++looks;
+    ++it;
+  }
+  return false;
 }
 
 void Clients::stop_accepting() {
@@ -231,6 +286,8 @@
   if (c.state == Conn::State::closed) return;
   if (c.state == Conn::State::in_hand) gone(c);
   c.state = Conn::State::closed;
+  keep(c);
+  due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
   c.stream.close();
   auto it = conns_.find(c.id);
   buried_.push_back(std::move(it->second));
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <memory>
+#include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 #include "protocol/http.hpp"
+#include "transport/due_times.hpp"
 #include "transport/listener.hpp"
 #include "transport/stream.hpp"
 
@@ -21,8 +24,10 @@
 
 class Clients final : transport::Ready {
  public:
-  Clients(transport::Loop& loop, transport::Pool& pool, const transport::Address& listen, const double& now,
-          std::size_t most, std::size_t beyond);
+  static constexpr std::uint8_t due_kind = 4;
+
+  Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
+          const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -31,12 +36,18 @@
   // Answers to the request in hand of that client; of no effect where it is gone or has its answer.
   void pass_on(ClientId id, const protocol::Message& answer);
   void answer(ClientId id, int status, std::string_view extra, std::string_view body);
+  // The same for what can't be served whatever happens: its connection ends.
+  void refuse(ClientId id, int status);
+  // A connection has had its time.
+  void fell_due(ClientId id);
 
   [[nodiscard]] transport::Address address() const { return listener_.address(); }
   void accept_all();
-  // Looks after connections that are slow, or starved for descriptors. Called now and then.
+  // Tries again what was starved for descriptors. Called now and then.
   void sweep();
-  bool shed();
+  // Closes an idle connection, the one that can be spared best; false: there is none.
+  // `at_once`: also one that has only just connected.
+  bool shed(bool at_once = false);
   void stop_accepting();
   // From now on each answer is a connection's last, and idle ones are closed.
   void wind_up();
@@ -47,11 +58,20 @@
 
  private:
   struct Conn;
+  // What may be shed: never sent a whole visit, then had its last answer, then rests between visits; of
+  // each the longest there first.
+  enum class Spare : std::uint8_t { unproven, lingering, resting };
+  using Place = std::tuple<Spare, double, ClientId>;
+
   void ready(std::uint32_t events) override;
   void ready(Conn& c, std::uint32_t events);
   void read(Conn& c);
   void called(Conn& c);
   void refuse(Conn& c, int status);
+  void allow(Conn& c, double ms);
+  void spare(Conn& c, Spare how);
+  void keep(Conn& c);
+  void drain(Conn& c);
   void sent(Conn& c);
   void gone(Conn& c);
   void reply(Conn& c, bool written);
@@ -61,6 +81,7 @@
 
   transport::Loop& loop_;
   transport::Pool& pool_;
+  transport::DueTimes& due_;
   const double& now_;
   std::size_t most_, beyond_;
   transport::Listener listener_;
@@ -68,6 +89,7 @@
   bool winding_up_ = false;
   ClientId next_ = 1;
   std::unordered_map<ClientId, std::unique_ptr<Conn>> conns_;
+  std::set<Place> spares_;
   std::vector<std::unique_ptr<Conn>> buried_;
   std::vector<Call> calls_;
 };
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -26,7 +26,7 @@
 }  // namespace
 
 struct Upstreams::Conn final : transport::Ready {
-  enum class State : std::uint8_t { dialling, idle, busy, closed };
+  enum class State : std::uint8_t { dialling, settling, idle, busy, closed };
 
   Conn(Upstreams& owner, std::uint64_t id, int be, int turn, transport::Fd fd)
       : owner(owner), id(id), be(be), turn(turn), stream(owner.loop_, owner.pool_, std::move(fd), *this) {}
@@ -59,9 +59,42 @@
 void Upstreams::bury() { buried_.clear(); }
 
 int Upstreams::index_of(const std::string& host) {
-  auto [it, fresh] = index_.try_emplace(host, static_cast<int>(servers_.size()));
-  if (fresh) servers_.push_back({.name = host, .dial = {}, .idle = {}, .waiting = {}});
-  return it->second;
+  if (int be = find(host); be >= 0) return be;
+  // Under ever new names the indices, and all that is kept for each, would grow for good.
+  int be = spare_.empty() ? static_cast<int>(servers_.size()) : spare_.back();
+  if (spare_.empty())
+    servers_.emplace_back();
+  else
+    spare_.pop_back();
+  server(be) = Server{};
+  server(be).name = host;
+  index_.emplace(host, be);
+  return be;
+}
+
+int Upstreams::find(const std::string& host) const {
+  auto it = index_.find(host);
+  return it == index_.end() ? -1 : it->second;
+}
+
+int Upstreams::holder(const std::string& dial) const {
+  auto it = holders_.find(dial);
+  return it == holders_.end() ? -1 : it->second;
+}
+
+void Upstreams::vacate(int be) {
+  if (holder(server(be).at) == be) holders_.erase(server(be).at);
+}
+
+void Upstreams::reap(const std::function<bool(int be)>& used) {
+  std::erase_if(departed_, [&](int be) {
+    auto& s = server(be);
+    if (s.listed) return true;  // it came back
+    if (s.conns > 0 || !s.waiting.empty() || used(be)) return false;
+    index_.erase(s.name);
+    spare_.push_back(be);
+    return true;
+  });
 }
 
 void Upstreams::place(int be, const std::string& dial, double born_ms, bool wanted) {
@@ -72,6 +105,12 @@
   s.dial = address;
   s.born = born_ms;
   s.wanted = wanted;
+  s.listed = true;
+  if (!dial.empty()) {
+    vacate(be);
+    s.at = dial;
+    holders_[dial] = be;
+  }
   // The process at the other end is another one by now, or will be gone soon.
   if (moved) {
     ++s.turn;
@@ -81,7 +120,10 @@
 }
 
 void Upstreams::depart(int be) {
-  server(be).wanted = false;
+  if (!server(be).listed) return;
+  server(be).wanted = server(be).listed = false;
+  vacate(be);
+  if (std::find(departed_.begin(), departed_.end(), be) == departed_.end()) departed_.push_back(be);
   forsake(be);
 }
 
@@ -142,6 +184,7 @@
   auto id = next_conn_++;
   auto& c = *conns_.emplace(id, std::make_unique<Conn>(*this, id, be, s.turn, std::move(fd))).first->second;
   ++s.dialling;
+  ++s.conns;
   due_.set(due_key(dial_due, id), c.due, now_ + limits_.dial_ms);
   return true;
 }
@@ -168,7 +211,6 @@
   auto& out = c.stream.out();
   bool ok;
   if (f.visit) {
-    if (f.visit->method() == "HEAD") c.answer->expect_no_body();
     ok = protocol::write_request(out, *f.visit, f.limit_at - now_);
   } else {
     ok = protocol::write_get(out, server(f.be).dial ? server(f.be).dial->text() : server(f.be).name, f.path);
@@ -186,11 +228,11 @@
     if (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) dialled(c);
     return;
   }
-  if (c.state == Conn::State::idle) {
+  if (c.state == Conn::State::idle || c.state == Conn::State::settling) {
     if (c.stream.quiet()) return;
-    auto& idle = server(c.be).idle;
-    idle.erase(std::find(idle.begin(), idle.end(), &c));
-    return close(c);
+    int be = c.be;
+    close(c);
+    return dial_for_waiting(be);
   }
   if (c.state != Conn::State::busy) return;
   bool ok = c.stream.flush();
@@ -204,6 +246,7 @@
   due_.set(due_key(dial_due, c.id), c.due, DueTimes::none);
   if (c.stream.dial_error() == 0) {
     server(be).heard = now_;
+    c.state = Conn::State::busy;
     return free(c);
   }
   c.state = Conn::State::busy;  // no longer counted as dialling
@@ -232,9 +275,7 @@
       }
       if (!c.answer->whole()) continue;
       if (c.answer->status() >= 200) return answered(c);
-      bool head = fetches_.at(c.fetch).visit && fetches_.at(c.fetch).visit->method() == "HEAD";
       c.answer->reset();
-      if (head) c.answer->expect_no_body();
     }
   }
   c.stream.again(EPOLLIN);
@@ -244,13 +285,23 @@
   auto it = fetches_.find(c.fetch);
   auto answer = std::move(c.answer);
   int code = answer->status();
+  // Before its last byte was out no answer can be to it: an upstream begins a visit only then.
+  if (!c.stream.flushed()) {
+    close(c);
+    return end(it, Status::unreachable);
+  }
   bool rejected = (code == 503 || code == 504) && answer->find(protocol::names::never_ran) == "1";
   auto status = code == 200 ? Status::delivered : rejected ? Status::full : Status::error;
-  // With bytes left over, or our own not all out, the two sides disagree about where messages end.
-  if (answer->keep_alive() && c.stream.bytes().empty() && c.stream.flushed())
-    free(c);
-  else
+  // With bytes left over the two sides disagree about where messages end.
+  if (answer->keep_alive() && c.stream.bytes().empty() && c.stream.quiet()) {
+    c.state = Conn::State::settling;
+    c.fetch = 0;
+    due_.set(due_key(dial_due, c.id), c.due, now_ + limits_.settle_ms);
+  } else {
+    int be = c.be;
     close(c);
+    dial_for_waiting(be);
+  }
   end(it, status, std::move(answer));
 }
 
@@ -262,7 +313,7 @@
   end(it, written ? Status::reset : Status::unreachable);
 }
 
-// A connection that has come up, or is done with a fetch, serves who waits, or rests.
+// A connection that has come up, or has settled after a fetch, serves who waits, or rests.
 void Upstreams::free(Conn& c) {
   int be = c.be;
   auto& s = server(be);
@@ -290,6 +341,7 @@
   auto& s = server(c.be);
   if (c.state == Conn::State::dialling) --s.dialling;
   if (c.state == Conn::State::idle) std::erase(s.idle, &c);
+  --s.conns;
   due_.set(due_key(dial_due, c.id), c.due, DueTimes::none);
   c.state = Conn::State::closed;
   c.stream.close();
@@ -329,6 +381,10 @@
   if (transport::kind_of(key) == dial_due) {
     auto& c = *conns_.at(number);
     int be = c.be;
+    if (c.state == Conn::State::settling) {
+      due_.set(due_key(dial_due, number), c.due, DueTimes::none);
+      return free(c);
+    }
     close(c);
     suspect(server(be), now_ - limits_.dial_ms);
     return dial_for_waiting(be);
@@ -361,6 +417,9 @@
   for (auto& s : servers_)
     if (!s.idle.empty() && (!oldest || s.idle.front()->idle_since < oldest->idle_since))
       oldest = s.idle.front();
+  if (!oldest)
+    for (auto& [id, c] : conns_)
+      if (c->state == Conn::State::settling) oldest = c.get();
   if (oldest) close(*oldest);
   return oldest != nullptr;
 }
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -29,6 +29,9 @@
 struct UpstreamLimits {
   double dial_ms = 1000;   // a connection not up by then never comes up
   double idle_ms = 30000;  // upstreams close idle connections after this
+  // Between an answer and the connection's next visit: what an upstream sends behind an answer may come a
+  // little later, and would pass for the answer to that visit.
+  double settle_ms = 20;
   std::size_t most = 400;  // connections, to all together
 };
 
@@ -43,14 +46,21 @@
   Upstreams(const Upstreams&) = delete;
   Upstreams& operator=(const Upstreams&) = delete;
 
-  // A small index for a host, the same for good.
+  // A small index for a host, the same for as long as it is listed or anything of it is left.
   int index_of(const std::string& host);
+  // -1 where it has none.
+  [[nodiscard]] int find(const std::string& host) const;
+  // Who is listed at that address; -1: nobody.
+  [[nodiscard]] int holder(const std::string& dial) const;
+  [[nodiscard]] double born(int be) const { return servers_[static_cast<std::size_t>(be)].born; }
   [[nodiscard]] std::size_t size() const { return servers_.size(); }
   [[nodiscard]] const std::string& name(int be) const { return servers_[static_cast<std::size_t>(be)].name; }
   // Where it is dialled and since when it runs. `wanted`: something new may go there.
   void place(int be, const std::string& dial, double born_ms, bool wanted);
   // Listed no more.
   void depart(int be);
+  // Gives back the indices of those that departed and have nothing left here nor, by `used`, elsewhere.
+  void reap(const std::function<bool(int be)>& used);
 
   // `visit` lasts until the fetch has ended. A probe has no visit but a path.
   void start(FetchId id, int be, const protocol::Message& visit, double limit_ms);
@@ -73,8 +83,9 @@
     std::optional<transport::Address> dial;
     double born = 0;
     int turn = 0;  // of processes and addresses it has had
-    bool wanted = true;
-    int dialling = 0;
+    bool wanted = true, listed = false;
+    int dialling = 0, conns = 0;
+    std::string at;           // its address as listed
     double heard = 0;         // the last sign of life
     std::vector<Conn*> idle;  // the longest idle first
     std::deque<FetchId> waiting;
@@ -107,6 +118,7 @@
   void close_idle(Server& s);
   void suspect(Server& s, double since);
   void stop_waiting(FetchId id, int be);
+  void vacate(int be);
 
   transport::Loop& loop_;
   transport::Pool& pool_;
@@ -115,8 +127,9 @@
   UpstreamLimits limits_;
   Say say_;
   std::function<bool()> make_room_;  // a descriptor from somewhere else; false: there is none
-  std::unordered_map<std::string, int> index_;
+  std::unordered_map<std::string, int> index_, holders_;
   std::vector<Server> servers_;
+  std::vector<int> departed_, spare_;  // indices that may be, and are, free for others
   std::unordered_map<std::uint64_t, std::unique_ptr<Conn>> conns_;
   std::vector<std::unique_ptr<Conn>> buried_;  // closed in this batch
   std::uint64_t next_conn_ = 1;
--- a/src/routing/visits.cpp
+++ b/src/routing/visits.cpp
@@ -62,6 +62,13 @@
   carry_out(it, brain_.where(it->second.visit, now), now);
 }
 
+bool Visits::uses(int be) const {
+  for (const auto& [job, held] : held_)
+    for (int i = 0; i < held.visit.sent; ++i)
+      if (held.visit.fetches[static_cast<std::size_t>(i)].be == be) return true;
+  return false;
+}
+
 bool Visits::unanswered(Job job) const {
   auto it = held_.find(job);
   return it != held_.end() && !it->second.visit.answered;
--- a/src/routing/visits.hpp
+++ b/src/routing/visits.hpp
@@ -47,6 +47,8 @@
   // Whether this visit still waits for its final answer.
   [[nodiscard]] bool unanswered(Job job) const;
   [[nodiscard]] std::size_t size() const { return held_.size(); }
+  // Whether a visit in hand has been fetched from there, whatever came of it.
+  [[nodiscard]] bool uses(int be) const;
   // For the log: where its fetches are out, in the caller's words.
   template <class F>
   [[nodiscard]] std::string where_out(Job job, F&& words) const {
--- a/src/transport/pool.cpp
+++ b/src/transport/pool.cpp
@@ -33,6 +33,11 @@
   return b;
 }
 
+void Pool::trim() {
+  constexpr std::size_t few = 16;
+  if (spare_.size() > few) spare_.resize(spare_.size() - (spare_.size() - few + 1) / 2);
+}
+
 bool Chain::append(std::string_view bytes) {
   auto room = buffers_.size() * buffer_size - start_ - size_;
   auto kept = buffers_.size();
--- a/src/transport/pool.hpp
+++ b/src/transport/pool.hpp
@@ -40,7 +40,10 @@
   Pool& operator=(const Pool&) = delete;
   // An empty one when `most` are out.
   Buffer take();
+  // Gives back to the system half of what lies idle beyond a few. Called now and then.
+  void trim();
   [[nodiscard]] std::size_t out() const { return out_; }
+  [[nodiscard]] std::size_t spare() const { return spare_.size(); }
 
  private:
   friend class Buffer;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -30,6 +30,17 @@
   EXPECT_EQ(pool.take().data(), at);  // the one given back last
 }
 
+TEST(Pool, KeepsFewOfThoseThatAreBack) {
+  Pool pool(1000);
+  {
+    std::vector<Buffer> all;
+    for (int i = 0; i < 1000; ++i) all.push_back(pool.take());
+  }
+  EXPECT_EQ(pool.spare(), 1000u);
+  for (int i = 0; i < 12; ++i) pool.trim();
+  EXPECT_LE(pool.spare(), 16u);
+}
+
 TEST(Chain, HoldsWhatAStringWould) {
   bool ok = rc::check([] {
     Pool pool(8);
