Half visits no longer stand in the way of shedding; starving for descriptors ends by a due time

Ruled out: CPU (0.07 s a second). Cause: shed() gave up after looking at sixteen half visits under 1 s old, which came first in the order (clients.cpp, shed). Now half visits have an order of their own, are spared for 0.1 s, and go only when no room is left; who has just connected is spared for 25 ms; starving sets a due time.

--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -100,7 +100,7 @@
                   .idle_ms = number(setup.settings, "limits.conn_idle_ms", 30000, say_),
                   .settle_ms = number(setup.settings, "limits.settle_ms", 20, say_),
                   .most = part(setup.descriptors, upstream_part)},
-                 say_, [this] { return clients_.shed(true); }),
+                 say_, [this] { return clients_.shed(Clients::Need::now); }),
       clients_(loop, pool_, due_, setup.listen, now_, part(setup.descriptors, client_part),
                part(setup.descriptors, beyond_part)),
       discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_),
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -22,8 +22,8 @@
 // closed at once, with bytes of its own on the way, it might lose the answer.
 constexpr double linger_ms = 1000;
 constexpr std::size_t linger_bytes = 256 * 1024;
-// Not shed for this long after connecting: silent, or with a visit begun.
-constexpr double fresh_ms = 250, begun_ms = 1000;
+// Not shed for this long after connecting, and after a first visit has begun.
+constexpr double fresh_ms = 25, midway_ms = 100;
 constexpr int most_looks = 16;  // at sockets, for one that can be shed
 }  // namespace
 
@@ -70,13 +70,16 @@
   for (starved_ = false; listener_.open();) {
     // Idle ones make way first. Beyond the bound there is still room to read what comes and to turn it away:
     // a request that waits with the system is as good as taken, and lost when its time is over.
-    if (conns_.size() >= most_ && !shed() && conns_.size() >= most_ + beyond_) {
+    if (conns_.size() >= most_ && !shed(Need::some) && conns_.size() >= most_ + beyond_ &&
+        !shed(Need::room)) {
       starved_ = true;
+      // Some of those that have only just connected can be spared by then.
+      due_.set(transport::due_key(due_kind, nobody), starved_due_, now_ + fresh_ms);
       return;
     }
     bool full = false;
     auto fd = listener_.accept(full);
-    if (!fd && full && shed()) continue;
+    if (!fd && full && shed(Need::room)) continue;
     starved_ = full;
     if (!fd) return;
     auto id = next_++;
@@ -137,9 +140,13 @@
   for (int i = 0; i < reads_a_turn; ++i) {
     while (!c.stream.bytes().empty()) {
       if (!c.request) c.request = std::make_unique<Message>(pool_, Message::Kind::request);
-      if (!c.request->started() && c.proven) {
-        keep(c);
-        allow(c, whole_ms);
+      if (!c.request->started()) {
+        if (c.proven) {
+          keep(c);
+          allow(c, whole_ms);
+        } else {
+          spare(c, Spare::midway);
+        }
       }
       c.stream.consume(c.request->feed(c.stream.bytes()));
       if (c.request->fault() != Fault::none) return refuse(c, static_cast<int>(c.request->fault()));
@@ -230,6 +237,10 @@
 }
 
 void Clients::fell_due(ClientId id) {
+  if (id == nobody) {
+    due_.set(transport::due_key(due_kind, nobody), starved_due_, transport::DueTimes::none);
+    return sweep();
+  }
   auto& c = *conns_.at(id);
   if (c.state == Conn::State::reading && c.request && c.request->started()) return refuse(c, 408);
   close(c);
@@ -241,19 +252,20 @@
          c.stream.bytes().empty() && c.stream.quiet();
 }
 
-bool Clients::shed(bool at_once) {
+bool Clients::shed(Need need) {
   int looks = 0;
   for (auto it = spares_.begin(); it != spares_.end() && looks < most_looks;) {
     const auto& [how, since, id] = *it;
+    if (how == Spare::midway && need == Need::some) break;
     // A flood of connections would push out, in one batch, a client whose visit is on its way.
-    if (how == Spare::unproven && !at_once && now_ - since < fresh_ms) {
-      it = spares_.lower_bound(Place{Spare::lingering, 0, 0});
+    double young = how == Spare::unproven ? fresh_ms : how == Spare::midway ? midway_ms : 0;
+    if (need != Need::now && now_ - since < young) {
+      it = spares_.lower_bound(Place{static_cast<Spare>(static_cast<int>(how) + 1), 0, 0});
       continue;
     }
     auto& c = *conns_.at(id);
-    // With something unread there may be a visit in it, and what has begun may be about to be whole.
-    bool begun = c.request && c.request->started() && now_ - since < begun_ms;
-    if (how == Spare::lingering || (!begun && c.stream.quiet())) {
+    // With something unread there may be a visit in it.
+    if (how == Spare::lingering || c.stream.quiet()) {
       close(c);
       return true;
     }
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -46,8 +46,9 @@
   // Tries again what was starved for descriptors. Called now and then.
   void sweep();
   // Closes an idle connection, the one that can be spared best; false: there is none.
-  // `at_once`: also one that has only just connected.
-  bool shed(bool at_once = false);
+  // `room`: also one with its first visit begun; `now`: also one that has only just connected.
+  enum class Need : std::uint8_t { some, room, now };
+  bool shed(Need need);
   void stop_accepting();
   // From now on each answer is a connection's last, and idle ones are closed.
   void wind_up();
@@ -58,9 +59,9 @@
 
  private:
   struct Conn;
-  // What may be shed: never sent a whole visit, then had its last answer, then rests between visits; of
-  // each the longest there first.
-  enum class Spare : std::uint8_t { unproven, lingering, resting };
+  // What may be shed: silent since it connected, has had its last answer, rests between visits, has begun its
+  // first visit; of each the longest there first.
+  enum class Spare : std::uint8_t { unproven, lingering, resting, midway };
   using Place = std::tuple<Spare, double, ClientId>;
 
   void ready(std::uint32_t events) override;
@@ -87,7 +88,9 @@
   transport::Listener listener_;
   bool starved_ = false;  // connections may wait that there was no descriptor for
   bool winding_up_ = false;
-  ClientId next_ = 1;
+  static constexpr ClientId nobody = 0;
+  double starved_due_ = transport::DueTimes::none;
+  ClientId next_ = nobody + 1;
   std::unordered_map<ClientId, std::unique_ptr<Conn>> conns_;
   std::set<Place> spares_;
   std::vector<std::unique_ptr<Conn>> buried_;
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cmath>
 #include <cstring>
 
 #include "protocol/names.hpp"
@@ -40,7 +41,7 @@
   State state = State::dialling;
   FetchId fetch = 0;
   std::unique_ptr<Message> answer;
-  double idle_since = 0;
+  double idle_since = 0, rested = 0;  // when it last fell idle, and for how long it had before its fetch
   double due = DueTimes::none;
 };
 
@@ -206,6 +207,7 @@
   c.fetch = id;
   f.conn = &c;
   due_.set(due_key(fetch_due, id), f.due, f.limit_at);
+  c.rested = c.idle_since > 0 ? now_ - c.idle_since : 0;
   if (!c.answer) c.answer = std::make_unique<Message>(pool_, Message::Kind::answer);
   c.answer->reset();
   auto& out = c.stream.out();
@@ -308,6 +310,9 @@
 void Upstreams::broke(Conn& c) {
   auto it = fetches_.find(c.fetch);
   bool written = c.stream.flushed();
+  say_(Level::debug, server(c.be).name + ": a connection broke under a fetch, idle before for " +
+                         std::to_string(std::lround(c.rested)) + " ms, fetched for " +
+                         std::to_string(std::lround(now_ - it->second.sent)) + " ms");
   close(c);
   // Never run as long as its last byte was not written; after that it may have.
   end(it, written ? Status::reset : Status::unreachable);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -597,6 +597,21 @@
   EXPECT_TRUE(served.quiet());                                       // who has sent a whole visit may rest
 }
 
+// Those that never send a whole visit make way, so that one who does need not wait for their time to be over.
+TEST(Service, AFloodOfHalfVisitsKeepsNobodyOut) {
+  Service s({.upstreams = 1, .sockets = 48});
+  std::vector<Peer> halves;
+  for (int i = 0; i < 40; ++i) {
+    halves.push_back(s.connect());
+    halves.back().say("POST /pay HT");
+  }
+  auto client = s.connect();
+  client.say(visit("/pay"));
+  auto up = answered(s.upstreams[0], ok);
+  EXPECT_EQ(status_of(client.hear()), 200);
+  EXPECT_TRUE(halves.back().quiet());
+}
+
 TEST(Service, AClientThatAsksForIsToldToContinue) {
   Service s({.upstreams = 1});
   auto client = s.connect();
