Idle connections near the age at which servers end others are not used

Ruled out: a race with a visible end (the socket is looked at just before the write), new connections (none among them), one server (31 alike). A test fails without it.

--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -22,6 +22,10 @@
 // Idle connections are closed and no longer used from this share of the idle time on: the rest is for the
 // way of a request that would cross the other side's close.
 constexpr double idle_share = 0.8;
+// What idle connections were ended at counts for this long, from so many ends on, of so many servers; younger
+// ones were ended right behind an answer. Unseen ends come from this share of the least age on.
+constexpr double ends_kept_ms = 10000, end_least_ms = 50, ended_share = 0.35;
+constexpr std::size_t ends_needed = 5, most_ends = 32, ends_agree = 3;
 // Reads of one connection before others have their turn.
 constexpr int reads_a_turn = 8;
 }  // namespace
@@ -162,15 +166,40 @@
 Upstreams::Conn* Upstreams::idle_one(Server& s) {
   while (!s.idle.empty()) {
     auto* c = s.idle.back();
-    if (now_ - c->idle_since < idle_share * limits_.idle_ms && c->stream.quiet()) {
-      s.idle.pop_back();
-      return c;
+    if (!c->stream.quiet()) {
+      close(*c);
+      continue;
     }
-    close(*c);
+    // The older ones stay, unused: how they end tells whether the limit still holds.
+    if (now_ - c->idle_since >= usable_idle()) return nullptr;
+    s.idle.pop_back();
+    return c;
   }
   return nullptr;
 }
 
+// Some ends never arrive: a connection that others of its age were ended at, or well before it, is reset by
+// the next visit written to it, and a mutating one is lost. One server that dies ends all of its own at any
+// age, so ends count only where several servers agree.
+double Upstreams::usable_idle() {
+  while (!idle_ends_.empty() && now_ - idle_ends_.front().at > ends_kept_ms) idle_ends_.pop_front();
+  double youngest = idle_share * limits_.idle_ms;
+  if (idle_ends_.size() < ends_needed) return youngest;
+  std::vector<int> servers;
+  double age = youngest;
+  for (const auto& e : idle_ends_) {
+    age = std::min(age, e.age);
+    if (std::find(servers.begin(), servers.end(), e.be) == servers.end()) servers.push_back(e.be);
+  }
+  return servers.size() < ends_agree ? youngest : ended_share * age;
+}
+
+void Upstreams::ended_idle(int be, double age) {
+  if (age < end_least_ms) return;
+  idle_ends_.push_back({.at = now_, .age = age, .be = be});
+  if (idle_ends_.size() > most_ends) idle_ends_.pop_front();
+}
+
 bool Upstreams::dial(int be) {
   auto& s = server(be);
   if (!s.dial) return false;
@@ -233,6 +262,7 @@
   if (c.state == Conn::State::idle || c.state == Conn::State::settling) {
     if (c.stream.quiet()) return;
     int be = c.be;
+    if (c.state == Conn::State::idle) ended_idle(be, now_ - c.idle_since);
     close(c);
     return dial_for_waiting(be);
   }
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -102,7 +102,13 @@
 
   Server& server(int be) { return servers_[static_cast<std::size_t>(be)]; }
   void begin(FetchId id, Fetch fetch);
+  struct IdleEnd {
+    double at = 0, age = 0;
+    int be = -1;
+  };
   Conn* idle_one(Server& s);
+  double usable_idle();
+  void ended_idle(int be, double age);
   bool dial(int be);
   void dial_for_waiting(int be);
   void write(Conn& c, FetchId id);
@@ -129,6 +135,7 @@
   std::function<bool()> make_room_;  // a descriptor from somewhere else; false: there is none
   std::unordered_map<std::string, int> index_, holders_;
   std::vector<Server> servers_;
+  std::deque<IdleEnd> idle_ends_;      // by the other side, the latest
   std::vector<int> departed_, spare_;  // indices that may be, and are, free for others
   std::unordered_map<std::uint64_t, std::unique_ptr<Conn>> conns_;
   std::vector<std::unique_ptr<Conn>> buried_;  // closed in this batch
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -17,6 +17,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -800,6 +801,28 @@
   EXPECT_EQ(status_and_body(client.hear()), (std::pair<int, std::string>{200, "done"}));
 }
 
+// Some ends never arrive: where several servers ended idle connections, those about as old are not used.
+TEST(Service, ConnectionsNearTheAgeAtWhichOthersWereEndedAreNotUsed) {
+  Service s({.upstreams = 3});
+  std::vector<Peer> clients, ups;
+  for (int i = 0; i < 6; ++i) {
+    clients.push_back(s.connect());
+    clients.back().say(visit("/pay"));
+    ups.push_back(s.upstreams[static_cast<std::size_t>(dialled(s))].open());
+    ups.back().hear();
+  }
+  for (std::size_t i = 0; i < 6; ++i) {
+    ups[i].say(ok);
+    EXPECT_EQ(status_of(clients[i].hear()), 200);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));  // they grow older
+  for (std::size_t i = 0; i < 5; ++i) ups[i].close();
+  EXPECT_EQ(s.ask("/-/ready"), 200);
+  for (std::size_t i = 0; i < 3; ++i) clients[i].say(visit("/pay"));
+  for (auto& door : s.upstreams) ups.push_back(answered(door, ok));  // each is dialled anew
+  EXPECT_TRUE(ups[5].quiet());
+}
+
 // Ever new servers, some at the address of one before that the list has not told of yet.
 TEST(Service, ServersMayBeReplacedAtTheSameAddressWithoutEnd) {
   Service s({.upstreams = 1});
