After its bench a server is tried by visits that may run again, for 4 s

Cause: after a bench of 1 to 8 s the next pick, four in five mutating, is the trial (brain.cpp, usable and pick), at each of twenty balancers. Now mutating visits pass such a server over for 4 s more where some path prefix may run again. A test fails without it.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -30,8 +30,9 @@
 constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
-constexpr double forgiven_ms = 10000;  // well for this long: relapses are forgotten
-constexpr double slow_prior = 2;       // outcomes' worth of doubt in that mean
+constexpr double trial_waits_ms = 4000;  // after a bench, for a visit that may run again to try the server
+constexpr double forgiven_ms = 10000;    // well for this long: relapses are forgotten
+constexpr double slow_prior = 2;         // outcomes' worth of doubt in that mean
 constexpr double kind_gain = 0.02;
 constexpr double slow_gain = 0.02;
 constexpr double silence_floor_ms = 400;
@@ -166,6 +167,7 @@
       p.ttl = number(at + "key_ttl_ms", 0);
       p.target = number(at + "target_latency_ms", 1000);
       p.earnings = number(at + "earnings", 1);
+      some_run_again = some_run_again || p.repeat != Repeat::mutating;
       top_earnings = std::max(top_earnings, p.earnings);
       prefixes.push_back(p);
     }
@@ -452,6 +454,9 @@
     candidates.clear();
     double others = 0;
     int known = 0, ready = 0;
+    // A trial of a server that may still fail costs a mutating visit, and nothing where the visit may run
+    // again: of such there are few enough servers on trial to wait for one.
+    bool lost_if_bad = some_run_again && prefix(v).repeat == Repeat::mutating;
     warm_ready = 0;
     for (int i : listed) warm_ready += bes[i].standing == Standing::ready && !cold(bes[i], now);
     for (int i : listed) {
@@ -463,7 +468,9 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
-      if (usable(be, now) && !tried(v, i) && permitted(v, i, now)) candidates.push_back(i);
+      if (usable(be, now) && !tried(v, i) &&
+          !(lost_if_bad && be.trial && now < be.bench_until + trial_waits_ms) && permitted(v, i, now))
+        candidates.push_back(i);
     }
     if (stage == 0 && v.sent == 0) {
       bool full = !room(v, ready);
@@ -818,6 +825,7 @@
          overload_factor = 2;
   double ask_within = 10000;
 
+  bool some_run_again = false;  // among the path prefixes
   bool probing = false, counts_visits = false;
   int column = -1;  // of the load reports, where answers carry them
   double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -86,6 +86,26 @@
   EXPECT_LE(w.brain.drop(w.now), 0);  // and does not throttle the tier
 }
 
+// After its bench a server is tried by a visit that may run again, for some time.
+TEST(Sick, IsTriedByVisitsThatMayRunAgain) {
+  World w({}, 5, 3);
+  auto round = [&](int prefix, int rounds) {
+    for (int i = 0; i < rounds; ++i, w.pass(10)) {
+      int id = w.knock(prefix, 5000);
+      if (auto it = w.visits.find(id); it != w.visits.end())
+        w.end(id, 0, it->second.v.fetches[0].be == 0 ? Status::error : Status::delivered);
+    }
+  };
+  round(1, 100);  // by now server 0 is benched, for 1.2 s at most
+  w.pass(1300);
+  int before = w.sends[0];
+  ASSERT_GT(before, 0);
+  round(1, 100);
+  EXPECT_EQ(w.sends[0], before);
+  round(0, 100);
+  EXPECT_EQ(w.sends[0], before + 1);
+}
+
 // A shared failure makes all look sick: taking servers out would empty the tier.
 TEST(Sick, BenchNeverEmptiesTheTier) {
   World w({}, 3, 3);
