--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -1,12 +1,15 @@
-// What a balancer is told: four variables at its start, and the file that one of them names, again on SIGHUP.
+// What a balancer is told: four variables at its start and the file that one of them names, or an operator's
+// own file; again on SIGHUP.
 #pragma once
 
 #include <functional>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "routing/balancer.hpp"
+#include "settings/tree.hpp"
 
 namespace meadow::program {
 
@@ -23,4 +26,11 @@
 // The same from the text of the file.
 void read_config_text(std::string_view text, routing::Setup& into, const routing::Say& say);
 
+// The operator's own file in TOML (docs/operate/config.md). All that is wrong with it goes into `problems`;
+// what comes back is of use only if there is none. `seed` is for a file that states none.
+routing::Setup read_operator_file(const settings::Node& file, std::uint64_t seed,
+                                  std::vector<settings::Problem>& problems);
+// Throws settings::BadFile.
+routing::Setup read_operator_file(const std::string& path, std::uint64_t seed);
+
 }  // namespace meadow::program
--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -1,6 +1,7 @@
-// The log: lines on standard error through iostreams, from a level on.
+// The log: one event a line on a stream, as text or as JSON with named fields, through spdlog.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -12,16 +13,21 @@
 
 std::optional<routing::Level> level_of(std::string_view name);
 
+enum class LogForm : std::uint8_t { text, json };
+std::optional<LogForm> log_form_of(std::string_view name);
+
+// Text: `2026-12-01T13:00:00.000Z NAME info: line`. JSON: {"at":...,"name":...,"level":...,"event":line, and
+// the line's fields}; bytes that are no UTF-8 are replaced. Each line is flushed. Lives as long as what it
+// gives out.
 class Log {
  public:
-  Log(std::ostream& out, routing::Level from, std::string name)
-      : out_(out), from_(from), name_(std::move(name)) {}
-  void operator()(routing::Level level, std::string_view line);
+  Log(std::ostream& out, routing::Level from, LogForm form, const std::string& name);
+  ~Log();
+  [[nodiscard]] routing::Say say() const;
 
  private:
-  std::ostream& out_;
-  routing::Level from_;
-  std::string name_;
+  struct Core;
+  std::shared_ptr<Core> core_;
 };
 
 }  // namespace meadow::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,9 +1,11 @@
 // The command line: serve, check, version.
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <random>
 
 #include "program/config.hpp"
 #include "program/log.hpp"
@@ -19,9 +21,29 @@
   return v ? std::optional<std::string>(v) : std::nullopt;
 }
 
-int serve(Log& log, std::optional<unsigned> leave_ms) {
-  auto setup = read_config(variable, log);
-  setup.leave_ms = leave_ms;
+struct Given {
+  std::string config;  // the operator's own file; empty: the four variables
+  routing::Level level = routing::Level::info;
+  LogForm form = LogForm::text;
+  std::optional<unsigned> leave_ms;
+};
+
+std::uint64_t fresh_seed() {
+  std::random_device device;
+  return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+routing::Setup read(const Given& given, const routing::Say& say) {
+  return given.config.empty() ? read_config(variable, say) : read_operator_file(given.config, fresh_seed());
+}
+
+int serve(const Given& given) {
+  std::string name = variable("GW_NAME").value_or("-");
+  if (!given.config.empty()) name = read(given, {}).name;
+  Log log(std::cerr, given.level, given.form, name);
+  auto say = log.say();
+  auto setup = read(given, say);
+  setup.leave_ms = given.leave_ms;
   rlimit most{};
   if (getrlimit(RLIMIT_NOFILE, &most) == 0 && most.rlim_cur != RLIM_INFINITY)
     setup.descriptors = std::min<std::size_t>(setup.descriptors, most.rlim_cur);
@@ -30,25 +52,41 @@
   auto reread = [&] {
     // Whatever is wrong with the file, what is in use stays.
     try {
-      balancer->reload(read_config(variable, log));
+      balancer->reload(read(given, say));
     } catch (const std::exception& e) {
-      log(routing::Level::error, std::string("configuration not taken over: ") + e.what());
+      say(routing::Level::error, std::string("configuration not taken over: ") + e.what());
     }
   };
   Signals signals(
       loop, [&] { balancer->wind_up(); }, reread);
-  routing::Balancer serving(loop, setup, std::ref(log));
+  routing::Balancer serving(loop, setup, say);
   balancer = &serving;
-  log(routing::Level::info, "serves on " + serving.address().text());
+  auto at = serving.address().text();
+  say(routing::Level::info, "serves on " + at, {{"address", std::string_view(at)}});
   serving.run();
-  log(routing::Level::info, "ended");
+  say(routing::Level::info, "ended");
   return 0;
 }
 
-int check(Log& log) {
-  auto setup = read_config(variable, log);
-  std::cout << setup.name << ": " << setup.settings.size() << " settings, " << setup.known.hosts.size()
-            << " upstreams known\n";
+int check(const Given& given) {
+  if (given.config.empty()) {
+    Log log(std::cerr, given.level, given.form, variable("GW_NAME").value_or("-"));
+    auto setup = read_config(variable, log.say());
+    std::cout << setup.name << ": " << setup.settings.size() << " settings, " << setup.known.hosts.size()
+              << " upstreams known\n";
+    return 0;
+  }
+  std::vector<settings::Problem> problems;
+  auto setup = read_operator_file(settings::read_file(given.config), 1, problems);
+  std::stable_sort(problems.begin(), problems.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.line, a.column) < std::pair(b.line, b.column);
+  });
+  for (const auto& p : problems) std::cerr << settings::worded(given.config, p) << '\n';
+  if (!problems.empty()) return 1;
+  std::cout << given.config << ": " << setup.name << " is to listen on " << setup.listen.text() << ", "
+            << (setup.discovery ? "discovery at " + setup.discovery->text()
+                                : std::to_string(setup.known.hosts.size()) + " servers listed")
+            << '\n';
   return 0;
 }
 
@@ -60,6 +98,9 @@
       .add_options()("command",
                      "serve: balance; check: read the configuration and say what is wrong; version",
                      cxxopts::value<std::string>()->default_value("serve"))(
+          "config", "an operator's own file in TOML, in place of the four variables",
+          cxxopts::value<std::string>())("log-format", "text or json, one event a line",
+                                         cxxopts::value<std::string>()->default_value("text"))(
           "log-level", "debug, info, warning or error", cxxopts::value<std::string>()->default_value("info"))(
           "leave-ms", "how long to serve on after SIGTERM (the longest client timeout, 3000 at most)",
           cxxopts::value<unsigned>())("h,help", "this text");
@@ -75,15 +116,17 @@
       std::cout << "meadowgauge " MEADOWGAUGE_VERSION "\n";
       return 0;
     }
+    Given g;
     auto level = level_of(given["log-level"].as<std::string>());
     if (!level) throw BadConfig("--log-level knows debug, info, warning and error");
-    Log log(std::cerr, *level, variable("GW_NAME").value_or("-"));
-    if (command == "serve") {
-      std::optional<unsigned> leave_ms;
-      if (given.count("leave-ms")) leave_ms = given["leave-ms"].as<unsigned>();
-      return serve(log, leave_ms);
-    }
-    if (command == "check") return check(log);
+    g.level = *level;
+    auto form = log_form_of(given["log-format"].as<std::string>());
+    if (!form) throw BadConfig("--log-format knows text and json");
+    g.form = *form;
+    if (given.count("config")) g.config = given["config"].as<std::string>();
+    if (given.count("leave-ms")) g.leave_ms = given["leave-ms"].as<unsigned>();
+    if (command == "serve") return serve(g);
+    if (command == "check") return check(g);
     throw BadConfig("unknown command " + command + ": serve, check or version");
   } catch (const std::exception& e) {
     std::cerr << "meadowgauge: " << e.what() << std::endl;
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -6,6 +6,7 @@
 
 #include "protocol/load_report.hpp"
 #include "protocol/names.hpp"
+#include "protocol/target.hpp"
 
 namespace meadow::routing {
 
@@ -43,12 +44,12 @@
   return it == s.end() ? std::string_view{} : std::string_view{it->second};
 }
 
-double number(const Settings& s, const std::string& name, double otherwise, const Say& say = {}) {
+double number(const Settings& s, const std::string& name, double otherwise, const Say& say = Say()) {
   auto text = word(s, name);
   if (text.empty()) return otherwise;
   double v = figure(text, never);
   if (v != never) return v;
-  if (say) say(Level::warning, std::string("setting ").append(name).append(" can't be read: ").append(text));
+  say(Level::warning, std::string("setting ").append(name).append(" can't be read: ").append(text));
   return otherwise;
 }
 
@@ -216,12 +217,13 @@
 void Balancer::call(Call& c) {
   if (!c.request) return gone(c.client);
   const auto& m = *c.request;
-  auto path = m.target().substr(0, m.target().find('?'));
+  auto path = protocol::path_of(m.target());
   if (path.starts_with(names::own_paths)) return own(c);
-  auto first = path.substr(1, path.substr(1).find('/'));
-  int prefix = place_in(prefixes_, first);
+  int prefix = place_in(prefixes_, protocol::first_segment(path));
   // Whether it may be repeated is not known then: nothing is sent anywhere.
   if (prefix < 0) return clients_.refuse(c.client, 404);
+  // A server that resolves the path would run it under a prefix with other rules for repeats.
+  if (!protocol::stays_under_first_segment(path)) return clients_.refuse(c.client, 400);
   if (int status = wrong_with(m, static_cast<std::size_t>(prefix))) return clients_.refuse(c.client, status);
   // No room to hold it, whatever might be decided: told at once.
   if (static_cast<double>(hands_.size()) >= most_held_ || jobs_.size() >= clients_.most())
@@ -262,7 +264,7 @@
 }
 
 void Balancer::own(const Call& c) {
-  auto path = c.request->target().substr(0, c.request->target().find('?'));
+  auto path = protocol::path_of(c.request->target());
   if (path != names::own_ready) return clients_.answer(c.client, 404, "", "");
   if (phase_ == Phase::serving) return clients_.answer(c.client, 200, "", "ready\n");
   clients_.answer(c.client, 503, "", "ending\n");
@@ -275,11 +277,15 @@
   auto job = it->second;
   jobs_.erase(it);
   open_.erase(hands_.at(job).visit->find(names::id));
-  say_(Level::debug, std::string("visit ").append(std::to_string(job)) + ": its client has gone; out at" +
-                         visits_.where_out(job, [this](int be, double since) {
-                           return " " + upstreams_.name(be) + " for " +
-                                  std::to_string(std::lround(now_ - since)) + " ms";
-                         }));
+  if (say_.wants(Level::debug))
+    say_(Level::debug,
+         std::string("visit ").append(std::to_string(job)) + ": its client has gone; out at" +
+             visits_.where_out(job,
+                               [this](int be, double since) {
+                                 return " " + upstreams_.name(be) + " for " +
+                                        std::to_string(std::lround(now_ - since)) + " ms";
+                               }),
+         {{"visit", static_cast<double>(job)}});
   visits_.left(job, now_);
   clients_.answer(client, 500, "", "");  // for one that still listens
 }
@@ -297,11 +303,16 @@
   Job job = e.fetch >> fetch_bits;
   int number = static_cast<int>(e.fetch & ((1 << fetch_bits) - 1));
   bool open = visits_.unanswered(job);
-  if (e.status != Status::delivered && e.be >= 0)
-    say_(Level::debug, std::string("fetch ").append(std::to_string(number)) + " of visit " +
-                           std::to_string(job) + " to " + upstreams_.name(e.be) + ": " +
-                           std::string(word_for(e.status)) + " after " +
-                           std::to_string(std::lround(now_ - e.sent)) + " ms");
+  if (e.status != Status::delivered && e.be >= 0 && say_.wants(Level::debug))
+    say_(Level::debug,
+         std::string("fetch ").append(std::to_string(number)) + " of visit " + std::to_string(job) + " to " +
+             upstreams_.name(e.be) + ": " + std::string(word_for(e.status)) + " after " +
+             std::to_string(std::lround(now_ - e.sent)) + " ms",
+         {{"visit", static_cast<double>(job)},
+          {"fetch", static_cast<double>(number)},
+          {"server", upstreams_.name(e.be)},
+          {"outcome", word_for(e.status)},
+          {"ms", now_ - e.sent}});
   if (auto it = hands_.find(job); it != hands_.end())
     it->second.last = e.status == Status::timeout ? 504 : e.status == Status::error ? 500 : 502;
   // A delivered answer needs no decision: it is passed on, and the module hears that the visit is closed.
@@ -352,8 +363,10 @@
     for (std::size_t i = 0; i < there.size(); ++i)
       if (!there[i]) upstreams_.depart(static_cast<int>(i));
   brain_.list(kind, entries_, now_);
-  say_(Level::debug, std::string("list ").append(std::to_string(listing.seq)).append(", entries: ") +
-                         std::to_string(entries_.size()));
+  say_(Level::debug,
+       std::string("list ").append(std::to_string(listing.seq)).append(", entries: ") +
+           std::to_string(entries_.size()),
+       {{"list", static_cast<double>(listing.seq)}, {"entries", static_cast<double>(entries_.size())}});
 }
 
 void Balancer::tick() {
@@ -384,15 +397,20 @@
 }
 
 void Balancer::bounce(Job job, double retry_after) {
-  say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": bounced with ") +
-                         std::to_string(visits_.size()) + " in hand");
+  if (say_.wants(Level::debug))
+    say_(Level::debug,
+         std::string("visit ").append(std::to_string(job)).append(": bounced with ") +
+             std::to_string(visits_.size()) + " in hand",
+         {{"visit", static_cast<double>(job)}, {"in_hand", static_cast<double>(visits_.size())}});
   commands_.push_back(
       {.kind = Command::bounce, .job = job, .value = retry_after, .client = answering(job), .status = 503});
 }
 
 void Balancer::error(Job job) {
   int status = hands_.at(job).last;
-  say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": errored"));
+  if (say_.wants(Level::debug))
+    say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": errored"),
+         {{"visit", static_cast<double>(job)}, {"status", static_cast<double>(status)}});
   commands_.push_back(
       {.kind = Command::error, .job = job, .client = answering(job), .status = status > 0 ? status : 500});
 }
@@ -404,9 +422,12 @@
 void Balancer::released(Job job) { hands_.erase(job); }
 
 void Balancer::reload(const Setup& setup) {
-  say_(Level::info, "configuration read again: discovery at " + setup.discovery.text());
+  say_(Level::info, "configuration read again: " +
+                        (setup.discovery ? "discovery at " + setup.discovery->text()
+                                         : std::to_string(setup.known.hosts.size()) + " servers listed"));
   if (setup.settings != settings_) say_(Level::info, "changed settings hold from the next start on");
   discovery_.move(setup.discovery);
+  if (!setup.discovery) list(ListKind::full, setup.known);
 }
 
 // --- A planned end -------------------------------------------------------------------------------------
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -21,7 +21,8 @@
 
 struct Setup {
   std::string name;
-  transport::Address listen, discovery;
+  transport::Address listen;
+  std::optional<transport::Address> discovery;  // absent: the list is `known` until a reload
   std::uint64_t seed = 1;
   std::size_t descriptors = 1024;
   std::size_t memory_mb = 192;
@@ -40,7 +41,8 @@
   void run();
   // A planned end: serves on for a while, then answers what it has and stops.
   void wind_up();
-  // A new configuration: the watch moves to its discovery. All else holds from the next start on.
+  // A new configuration: the watch moves to its discovery, or its own list is taken. All else holds from the
+  // next start on.
   void reload(const Setup& setup);
 
  private:
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -25,8 +25,8 @@
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
-                                 const double& now, transport::Address agent, std::int64_t after,
-                                 std::uint64_t seed, Say say)
+                                 const double& now, std::optional<transport::Address> agent,
+                                 std::int64_t after, std::uint64_t seed, Say say)
     : loop_(loop),
       pool_(pool),
       due_(due),
@@ -40,15 +40,17 @@
 DiscoveryClient::~DiscoveryClient() = default;
 
 void DiscoveryClient::connect() {
-  auto fd = Stream::dial(agent_);
+  if (!agent_) return;
+  auto fd = Stream::dial(*agent_);
   if (!fd) return lost(std::strerror(errno));
   stream_ = std::make_unique<Stream>(loop_, pool_, std::move(fd), *this);
   up_ = false;
   due_.set(due_key(due_kind, 0), due_at_, now_ + (whole_ ? answer_ms : silent_ms));
 }
 
-void DiscoveryClient::move(transport::Address agent) {
+void DiscoveryClient::move(std::optional<transport::Address> agent) {
   drop();
+  due_.set(due_key(due_kind, 0), due_at_, transport::DueTimes::none);
   agent_ = std::move(agent);
   // Its versions need not be those of the one before, nor tell of what left in between.
   whole_ = true;
@@ -62,7 +64,7 @@
   list_.clear();
   std::string target(protocol::names::list);
   if (!whole_) target.append("?watch=1&after=").append(std::to_string(after_));
-  return protocol::write_get(stream_->out(), agent_.text(), target);
+  return protocol::write_get(stream_->out(), agent_->text(), target);
 }
 
 void DiscoveryClient::fell_due() {
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -19,14 +19,15 @@
   static constexpr std::uint8_t due_kind = 3;
 
   DiscoveryClient(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due, const double& now,
-                  transport::Address agent, std::int64_t after, std::uint64_t seed, Say say);
+                  std::optional<transport::Address> agent, std::int64_t after, std::uint64_t seed, Say say);
   ~DiscoveryClient();
   DiscoveryClient(const DiscoveryClient&) = delete;
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
 
+  // Does nothing where there is no agent.
   void connect();
-  // Watches that agent from now on, and asks it for the whole list first.
-  void move(transport::Address agent);
+  // Watches that agent from now on, and asks it for the whole list first; none: watches nothing.
+  void move(std::optional<transport::Address> agent);
   void fell_due();
   void bury() { buried_.clear(); }
 
@@ -45,7 +46,7 @@
   transport::Pool& pool_;
   transport::DueTimes& due_;
   const double& now_;
-  transport::Address agent_;
+  std::optional<transport::Address> agent_;
   std::int64_t after_;  // the version that the watch goes on from
   std::minstd_rand rng_;
   Say say_;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -102,4 +102,11 @@
   from_ = to_ = 0;
 }
 
+void Stream::reset() {
+  if (!fd_) return;
+  linger now{.l_onoff = 1, .l_linger = 0};
+  setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  close();
+}
+
 }  // namespace meadow::transport
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -38,6 +38,8 @@
   void again(std::uint32_t events) { loop_->again(token_, events); }
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   void close();
+  // Ends with a reset in place of an orderly end.
+  void reset();
 
  private:
   Loop* loop_;
--- /dev/null
+++ b/tests/operator_test.cpp
@@ -0,0 +1,113 @@
+// The operator's own file, the log's two forms, and the program started from a file, without discovery.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "program/config.hpp"
+#include "program/log.hpp"
+
+namespace meadow::program {
+namespace {
+
+using settings::Problem;
+
+const std::string least = R"(listen = "127.0.0.1:0"
+[[path_prefixes]]
+name = "view"
+repeat = "read-like"
+[[servers]]
+name = "s1"
+address = "127.0.0.1:9001"
+)";
+
+std::vector<std::string> problems_of(const std::string& text) {
+  std::vector<Problem> problems;
+  read_operator_file(settings::read_text(text, "f"), 7, problems);
+  std::vector<std::string> said;
+  for (const auto& p : problems) said.push_back(settings::worded("f", p));
+  return said;
+}
+
+TEST(OperatorFile, DefaultsHoldWhereNothingIsSaid) {
+  std::vector<Problem> problems;
+  auto s = read_operator_file(settings::read_text(least, "f"), 7, problems);
+  EXPECT_TRUE(problems.empty());
+  EXPECT_EQ(s.seed, 7U);
+  EXPECT_EQ(s.descriptors, 1024U);
+  EXPECT_FALSE(s.discovery);
+  EXPECT_EQ(s.settings.at("path_prefixes.0.repeat"), "idempotent");
+  EXPECT_EQ(s.settings.at("limits.max_backend_fetches"), "3");
+  EXPECT_EQ(s.settings.at("report.how"), "off");
+  ASSERT_EQ(s.known.hosts.size(), 1U);
+  EXPECT_EQ(s.known.hosts[0].zone, "here");
+}
+
+TEST(OperatorFile, TheExampleSaysTheDefaults) {
+  auto example = read_operator_file(MEADOWGAUGE_EXAMPLE, 7);
+  std::vector<Problem> problems;
+  auto bare = read_operator_file(settings::read_text(least, "f"), 7, problems);
+  for (const auto& [key, value] : bare.settings)
+    if (!key.ends_with(".count")) {
+      EXPECT_EQ(example.settings.at(key), value) << key;
+    }
+  EXPECT_EQ(example.memory_mb, bare.memory_mb);
+  EXPECT_EQ(example.descriptors, bare.descriptors);
+}
+
+TEST(OperatorFile, EachProblemIsNamedWithItsPlace) {
+  using V = std::vector<std::string>;
+  EXPECT_EQ(problems_of("limit = 1\n" + least), V{"f:1:1: limit is not known"});
+  EXPECT_EQ(problems_of(least + "wait = 3\n"), V{"f:8:1: servers[0].wait is not known"});
+  EXPECT_EQ(problems_of(least + "[limits]\n  fetches = 9\n"),
+            V{"f:9:3: limits.fetches is not between 1 and 8"});
+  EXPECT_EQ(problems_of(least + "[limits]\nfetches = \"2\"\n"),
+            V{"f:9:1: limits.fetches is no whole number"});
+  EXPECT_EQ(problems_of(least + "draining = 1\n"), V{"f:8:1: servers[0].draining is neither true nor false"});
+  EXPECT_EQ(problems_of(least + "[[servers]]\nname = \"s1\"\naddress = \"127.0.0.1:9001\"\n"),
+            (V{"f:9:1: servers[1].name stands twice: s1",
+               "f:10:1: servers[1].address stands twice: 127.0.0.1:9001"}));
+  EXPECT_EQ(problems_of(least + "[[path_prefixes]]\nname = \"a/b\"\nrepeat = \"often\"\n"),
+            (V{"f:9:1: path_prefixes[1].name holds a character that can't stand there",
+               "f:10:1: path_prefixes[1].repeat is not read-like, tagged or mutating"}));
+  EXPECT_EQ(problems_of("discovery = \"127.0.0.1:1\"\n" + least),
+            V{"f:6:3: servers stands beside discovery: one of them says where the list comes from"});
+  EXPECT_EQ(problems_of("zones = [1]\n" + least), V{"f:1:10: zones holds what is no text"});
+  EXPECT_EQ(problems_of("listen = \"here\"\n" + least.substr(least.find('\n') + 1)),
+            V{"f:1:1: listen is no address with a port: here"});
+}
+
+TEST(OperatorFile, WhatIsNoTomlIsOneLineWithItsPlace) {
+  for (std::string bad : {"listen = ", "[a\n", "a = 1\na = 2\n", "\x01"}) try {
+      settings::read_text(bad, "f");
+      FAIL() << bad;
+    } catch (const settings::BadFile& e) {
+      EXPECT_TRUE(std::string(e.what()).starts_with("f:")) << e.what();
+      EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+    }
+  EXPECT_THROW(settings::read_file("/nowhere/at/all.toml"), settings::BadFile);
+}
+
+TEST(Log, TextIsWhatOperatorsKnowAndJsonHasNamedFields) {
+  std::ostringstream text, json;
+  Log plain(text, routing::Level::info, LogForm::text, "n%0");
+  plain.say()(routing::Level::warning, "a {} line", {{"visit", 7.0}});
+  plain.say()(routing::Level::debug, "unseen");
+  EXPECT_EQ(text.str().substr(19, 1), ".");
+  EXPECT_EQ(text.str().substr(23), "Z n%0 warning: a {} line\n");
+  Log structured(json, routing::Level::debug, LogForm::json, "n%0\"");
+  structured.say()(routing::Level::error, "a \"line\"\n\xff",
+                   {{"visit", 7.0}, {"server", std::string_view("s1")}});
+  auto v = nlohmann::json::parse(json.str());
+  EXPECT_EQ(v["name"], "n%0\"");
+  EXPECT_EQ(v["level"], "error");
+  EXPECT_EQ(v["event"], "a \"line\"\n\xef\xbf\xbd");
+  EXPECT_EQ(v["visit"], 7.0);
+  EXPECT_EQ(v["server"], "s1");
+  auto lines = json.str();
+  EXPECT_EQ(std::count(lines.begin(), lines.end(), '\n'), 1);
+}
+
+}  // namespace
+}  // namespace meadow::program
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -7,6 +7,7 @@
 #include "protocol/http.hpp"
 #include "protocol/json.hpp"
 #include "protocol/load_report.hpp"
+#include "protocol/target.hpp"
 #include "routing/upstreams.hpp"
 
 namespace meadow::protocol {
@@ -250,7 +251,10 @@
 
 TEST(Config, NamesWhatItCanNotReadAndGoesOn) {
   std::string said;
-  auto say = [&](routing::Level, std::string_view line) { said += std::string(line) + "\n"; };
+  routing::Say say(routing::Level::debug,
+                   [&](routing::Level, std::string_view line, std::span<const routing::Named>) {
+                     said += std::string(line) + "\n";
+                   });
   routing::Setup s;
   program::read_config_text(
       R"({"seed":"zz","limits":{"sockets":"many","memory_mb":64},"known":{"seq":1},"settings":{"stage":1}})",
@@ -272,8 +276,7 @@
   transport::Pool pool(4);
   transport::DueTimes due;
   double now = 0;
-  routing::Upstreams all(
-      loop, pool, due, now, {}, [](routing::Level, std::string_view) {}, [] { return false; });
+  routing::Upstreams all(loop, pool, due, now, {}, routing::Say(), [] { return false; });
   for (int i = 0; i < 1000; ++i) {
     int be = all.index_of("s" + std::to_string(i));
     EXPECT_EQ(be, i % 2);
@@ -292,4 +295,35 @@
 }
 
 }  // namespace
+TEST(Target, APathThatSomeReaderResolvesToAnotherPrefixIsSeen) {
+  for (std::string good :
+       {"/r/1", "/r", "/r/", "/r/a/../b", "/r/./1", "/r/a%20b", "/r/..a/b", "/r/a//b", "/r/1.2", "/r/a%2fb",
+        "/r/a\\b", "/r/...", "/r/a;v=1/b", "/r/%zz", "/r/%", "/r/%2"})
+    EXPECT_TRUE(stays_under_first_segment(good)) << good;
+  for (std::string bad : {"/r/../w/1",
+                          "/r/..",
+                          "/r/%2e%2e/w",
+                          "/r/%2E./w",
+                          "/r/.%2e/w",
+                          "/r/..%2fw",
+                          "/r%2f../w",
+                          "/r/..\\w",
+                          "/r\\..\\w",
+                          "/r/%5c../../w",
+                          "/r/./../w",
+                          "/r/a/../../w",
+                          "/r/a%2fb/../../w",
+                          "/r//../w",
+                          "/r/x//../../w",
+                          "/r/%252e%252e/w",
+                          "/r/%25252e%2525252e/w",
+                          "/r/..;/w",
+                          "/r/..;v=1/w",
+                          "/../r/1",
+                          "/r/%2525252525252e./w"})
+    EXPECT_FALSE(stays_under_first_segment(bad)) << bad;
+  EXPECT_EQ(first_segment(path_of("/r?a=/../w")), "r");
+  EXPECT_EQ(first_segment("r"), "");
+}
+
 }  // namespace meadow::protocol
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -191,6 +191,7 @@
   int sockets = 256;
   int taken = 0;                 // descriptors that the process has to begin with, of 60 then
   std::string leave_ms = "450";  // empty: as it is by itself
+  bool own_file = false;         // an operator's file with the upstreams listed, in place of the variables
 };
 
 // The program, running, with its upstreams and discovery in the test's hands.
@@ -228,6 +229,16 @@
       log_text_.append(bytes, static_cast<std::size_t>(n));
     }
   }
+  // An operator's file that lists the first `n` upstreams.
+  [[nodiscard]] std::string listed(std::size_t n) const {
+    std::string text =
+        "listen = '127.0.0.1:0'\n[[path_prefixes]]\nname = 'pay'\nrepeat = 'mutating'\n[limits]\nsettle_ms = "
+        "0\n";
+    for (std::size_t i = 0; i < n; ++i)
+      text +=
+          "[[servers]]\nname = 's" + std::to_string(i) + "'\naddress = '" + upstreams[i].address() + "'\n";
+    return text;
+  }
   [[nodiscard]] Peer connect() const { return dial(port_); }
   int ask(const std::string& path) const {
     auto c = connect();
@@ -274,7 +285,7 @@
         << R"({"name":"pay","repeat":"at_most_once","group":"all","client_timeout_ms":9000.0,"earnings":1.0},)"
         << R"({"name":"view","repeat":"idempotent","group":"all","client_timeout_ms":9000.0,"earnings":1.0}])"
         << o.settings << "}}";
-    text_ = text.str();
+    text_ = o.own_file ? listed(upstreams.size()) : text.str();
     configure(text_);
     int ends[2];
     if (pipe2(ends, O_CLOEXEC) != 0) std::abort();
@@ -292,6 +303,11 @@
       setenv("GW_DISCOVERY", agent.c_str(), 1);
       setenv("GW_CONFIG", config_.c_str(), 1);
       auto leave = "--leave-ms=" + o.leave_ms;
+      if (o.own_file) {
+        for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_CONFIG"}) unsetenv(name);
+        execl(MEADOWGAUGE_PROGRAM, "meadowgauge", "serve", "--config", config_.c_str(), "--log-format",
+              "json", nullptr);
+      }
       execl(MEADOWGAUGE_PROGRAM, "meadowgauge", "serve", o.leave_ms.empty() ? nullptr : leave.c_str(),
             nullptr);
       _exit(127);
@@ -562,6 +578,12 @@
       {405, "HEAD /view HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
       {404, "POST /elsewhere HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
       {400, view + "Content-Length: 2\r\n\r\nhi"},
+      // A server that resolves these would run them under `pay`.
+      {400, "GET /view/../pay/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
+      {400, "GET /view/%2e%2e/pay/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
+      {400, "GET /view/..%2Fpay HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
+      {404, "GET /view\\..\\pay HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
+      {400, "GET /view/a\\..\\..\\pay HTTP/1.1\r\nHost: b\r\nX-Call-Id: 1\r\n"},
   };
   for (const auto& [status, text] : cases) {
     auto client = s.connect();
@@ -1012,6 +1034,34 @@
   return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, said};
 }
 
+TEST(Service, AnOperatorsFileServesWithoutDiscoveryAndIsRereadOnSighup) {
+  Service s({.upstreams = 2, .own_file = true});
+  std::vector<Peer> ups(2);
+  auto client = s.connect();
+  auto ask = [&](int expected) {
+    client.say(visit("/pay/1"));
+    int at = dialled(s);
+    EXPECT_EQ(at, expected);
+    auto up = answered(s.upstreams[static_cast<std::size_t>(at)],
+                       sized("HTTP/1.1 200 OK\r\nConnection: close", "done"));
+    EXPECT_EQ(status_of(client.hear()), 200);
+  };
+  client.say(visit("/pay/1"));
+  int first = dialled(s);
+  answered(s.upstreams[static_cast<std::size_t>(first)],
+           sized("HTTP/1.1 200 OK\r\nConnection: close", "done"));
+  EXPECT_EQ(status_of(client.hear()), 200);
+  s.configure(s.listed(1));
+  s.hang_up();
+  s.logged("1 servers listed");
+  ask(0);
+  ask(0);
+  s.configure(s.listed(2) + "nonsense = 1\n");  // as it stands in the last server's table
+  s.hang_up();
+  s.logged("servers[1].nonsense is not known");
+  ask(0);
+}
+
 TEST(Program, SaysInOneLineWhatIsWrongWithItsConfiguration) {
   const std::string program = MEADOWGAUGE_PROGRAM;
   const std::string all = "GW_NAME=n0 GW_LISTEN=127.0.0.1:0 GW_DISCOVERY=127.0.0.1:1 ";
@@ -1030,6 +1080,9 @@
       EXPECT_NE(said.find(named), said.npos) << said;
       EXPECT_EQ(std::count(said.begin(), said.end(), '\n'), 1) << said;
     }
+  EXPECT_EQ(run(program + " check --config /nowhere/at/all").first, 1);
+  EXPECT_EQ(run(program + " serve --config /dev/null").first, 1);
+  EXPECT_EQ(run(program + " serve --log-format xml").first, 1);
   EXPECT_EQ(run(program + " version").first, 0);
   EXPECT_EQ(run(program + " juggle").first, 1);
   EXPECT_EQ(run(program + " --odd").first, 1);
