Rehearsal: model fleet, faults between sockets, load and experiments on loopback

Need: the balancer could be judged only with the operators' kit, and nobody else could see it serve a visit. All figures of the rehearsal are of model servers on loopback.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# `make demo` and `make test` do all that is needed on a fresh Debian machine: install, build, run.
+.PHONY: demo test build install
+
+install:
+	tools/install
+
+build: install
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j4
+
+demo: build
+	build/meadowgauge-rehearse run experiments/demo.toml --out build/demo
+
+test: install
+	cmake -B build-test -DCMAKE_BUILD_TYPE=Debug -DMEADOWGAUGE_TESTS=ON -DMEADOWGAUGE_SANITIZE=ON
+	cmake --build build-test -j4
+	ctest --test-dir build-test --output-on-failure
--- /dev/null
+++ b/bench/baselines/plain.hpp
@@ -0,0 +1,42 @@
+// What the baselines share: textbook balancers behind the same interface as the decision module, linked in
+// its place for comparison. They keep the rules on answers, repeats and drains, and do nothing else: no
+// throttle, no memory of a server's past, no care for cold ones.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "brain/brain.hpp"
+
+namespace meadow::baselines {
+
+struct Server {
+  Standing standing = Standing::gone;
+  int zone = 0, out = 0;
+  double up_since = 0;
+};
+
+struct State {
+  std::vector<Server> servers;
+  std::mt19937 rng;
+  std::size_t turn = 0;
+  [[nodiscard]] std::size_t below(std::size_t n) {
+    return std::uniform_int_distribution<std::size_t>(0, n - 1)(rng);
+  }
+};
+
+// Each baseline defines these.
+int choose(std::span<const int> ready, State& state);
+extern const int most_repeats;  // fetches beyond the first, where nothing may have run
+
+// How one that is broken on purpose is broken; a sound one has no flaw.
+struct Flaws {
+  bool forgets = false;  // no answer of its own: a visit that failed is let lie
+  bool repeats = false;  // sends a mutating visit again though it may have run
+  bool ignores_drains = false;
+};
+extern const Flaws flaws;
+
+}  // namespace meadow::baselines
--- /dev/null
+++ b/bench/baselines/two_choices.cpp
@@ -0,0 +1,13 @@
+#include "plain.hpp"
+
+namespace meadow::baselines {
+
+// The emptier of two drawn servers (Mitzenmacher 2001), by own visits out; no repeat.
+int choose(std::span<const int> ready, State& s) {
+  int a = ready[s.below(ready.size())], b = ready[s.below(ready.size())];
+  return s.servers[static_cast<std::size_t>(b)].out < s.servers[static_cast<std::size_t>(a)].out ? b : a;
+}
+const int most_repeats = 0;
+const Flaws flaws;
+
+}  // namespace meadow::baselines
--- /dev/null
+++ b/src/rehearsal/fleet.cpp
@@ -0,0 +1,295 @@
+#include "rehearsal/fleet.hpp"
+
+#include <algorithm>
+
+#include "rehearsal/request.hpp"
+
+namespace meadow::rehearsal {
+
+namespace {
+
+transport::Address made(int a, int b, int c, int port) {
+  return *transport::Address::parse("127." + std::to_string(a) + "." + std::to_string(b) + "." +
+                                    std::to_string(c) + ":" + std::to_string(port));
+}
+
+}  // namespace
+
+// 127.16 to 127.47: servers, a net for each balancer; 127.64 to 127.95: relays; 127.112: balancers; 127.113:
+// agents.
+transport::Address Places::server(int tier, int server, int balancer) const {
+  return made(16 + balancer, tier * 20 + server / 250, 1 + server % 250, port);
+}
+transport::Address Places::relay(int tier, int server, int balancer) const {
+  return made(64 + balancer, tier * 20 + server / 250, 1 + server % 250, port);
+}
+transport::Address Places::balancer(int tier, int balancer) const {
+  return made(112, tier, 1 + balancer, port);
+}
+transport::Address Places::agent(int tier, int balancer) const { return made(113, tier, 1 + balancer, port); }
+
+Fleet::Fleet(Scene& scene, const Experiment& e, std::uint64_t seed, const Places& places)
+    : Part(scene), e_(e), seed_(seed), places_(places), rng_(mixed(seed, "fleet")), dealt_(e.tiers.size()) {
+  for (std::size_t i = 0; i < e.tiers.size(); ++i) {
+    const auto& spec = e.tiers[i];
+    int t = static_cast<int>(i);
+    auto& tier = tiers_.emplace_back();
+    double kinds = 0;
+    for (const auto& k : spec.kinds) kinds += k.share;
+    std::vector<Listed> list;
+    for (int s = 0; s < spec.servers; ++s) {
+      // Kinds are dealt by share in the order of servers, so that each zone has of all.
+      const KindSpec* kind = nullptr;
+      double left = kinds * uniform_of(mixed(seed, "kind", static_cast<std::uint64_t>(t * 10000 + s)));
+      for (const auto& k : spec.kinds) {
+        kind = &k;
+        if ((left -= k.share) < 0) break;
+      }
+      Backend::Place place{.tier = t,
+                           .server = s,
+                           .seed = mixed(seed, "backend", static_cast<std::uint64_t>(t * 10000 + s)),
+                           .idle_ms = spec.idle_ms,
+                           .speed = kind ? kind->speed : 1,
+                           .report = spec.report};
+      tier.servers.push_back(std::make_unique<Backend>(scene, *this, place, spec.server, ledger_.reached));
+      Listed l{.host = "s-" + std::to_string(t) + "-" + std::to_string(s),
+               .zone = spec.zones[static_cast<std::size_t>(e.zone_of(t, s))],
+               .kind = kind ? kind->name : "m",
+               .block = spec.block > 0 ? s / spec.block : s};
+      for (int b = 0; b < spec.balancers; ++b)
+        l.dial.push_back((spec.relays ? places.relay(t, s, b) : places.server(t, s, b)).text());
+      list.push_back(std::move(l));
+      start(t, s, false);
+    }
+    std::vector<transport::Address> agents;
+    for (int b = 0; b < spec.balancers; ++b) agents.push_back(places.agent(t, b));
+    tier.agent =
+        std::make_unique<Agent>(scene, agents, std::move(list), [this, t](int b, int s, Listed::Health h) {
+          ledger_.told.push_back({t, b, s, h != Listed::Health::active, this->scene.now});
+        });
+    if (i + 1 < e.tiers.size()) {
+      std::vector<Caller::Target> targets;
+      for (int b = 0; b < e.tiers[i + 1].balancers; ++b)
+        targets.push_back({places.balancer(t + 1, b), t + 1});
+      tier.caller = std::make_unique<Caller>(scene, targets, *this, Caller::Limits{});
+    }
+  }
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::start(int t, int s, bool cold) {
+  std::vector<transport::Address> at;
+  for (int b = 0; b < e_.tiers[static_cast<std::size_t>(t)].balancers; ++b)
+    at.push_back(places_.server(t, s, b));
+  server(t, s).start(at, cold);
+}
+
+std::string Fleet::list(int tier, int balancer) const {
+  return tiers_[static_cast<std::size_t>(tier)].agent->whole(balancer);
+}
+
+void Fleet::begin(double at) {
+  begin_ = at;
+  for (std::size_t i = 0; i < e_.tiers.size(); ++i) {
+    const auto& spec = e_.tiers[i];
+    if (!spec.relays) continue;
+    int t = static_cast<int>(i);
+    for (int s = 0; s < spec.servers; ++s) {
+      std::vector<Strike> here;
+      for (const auto& strike : e_.strikes)
+        if (strike.target.empty() || strike.target == "s-" + std::to_string(t) + "-" + std::to_string(s))
+          here.push_back(strike);
+      for (int b = 0; b < spec.balancers; ++b) {
+        auto& plan = tiers_[i].plans.emplace_back(
+            std::make_unique<Plan>(here, mixed(seed_, "plan", static_cast<std::uint64_t>(s * 64 + b))));
+        tiers_[i].relays.push_back(
+            std::make_unique<Relay>(scene, places_.relay(t, s, b), places_.server(t, s, b), *plan, at));
+      }
+    }
+  }
+  for (std::size_t i = 0; i < e_.faults.size(); ++i) plan(i);
+  std::stable_sort(acts_.begin(), acts_.end(), [](const Act& a, const Act& b) { return a.at < b.at; });
+  next_act_ = 0;
+  due(0, due_, acts_.empty() ? transport::DueTimes::none : acts_.front().at);
+}
+
+void Fleet::fell_due(std::uint64_t) {
+  while (next_act_ < acts_.size() && acts_[next_act_].at <= scene.now) acts_[next_act_++].what();
+  due(0, due_, next_act_ < acts_.size() ? acts_[next_act_].at : transport::DueTimes::none);
+}
+
+void Fleet::news(int t, int s, Listed::Health health) {
+  const auto& spec = e_.tiers[static_cast<std::size_t>(t)];
+  std::vector<double> late;
+  for (int b = 0; b < spec.balancers; ++b) late.push_back(spec.news_ms * (1 + uniform(rng_)));
+  tiers_[static_cast<std::size_t>(t)].agent->set(
+      s, health, health == Listed::Health::active ? server(t, s).born() : 0, late);
+}
+
+void Fleet::plan(std::size_t fault) {
+  const auto& f = e_.faults[fault];
+  auto which = e_.struck_by(fault, seed_);
+  int t = f.tier;
+  double end = f.at_ms + f.for_ms;
+  // On at the begin, off at the end; a server that has died meanwhile is let be.
+  auto trouble = [&](auto on, auto off) {
+    for (int s : which) {
+      at(f.at_ms, [this, t, s, on] {
+        if (auto* m = server(t, s).model()) on(*m), server(t, s).moved();
+      });
+      at(end, [this, t, s, off] {
+        if (auto* m = server(t, s).model()) off(*m), server(t, s).moved();
+      });
+    }
+  };
+  using What = FaultSpec::What;
+  switch (f.what) {
+    case What::kill:
+      for (int s : which) {
+        at(f.at_ms, [this, t, s] {
+          server(t, s).stop();
+          news(t, s, Listed::Health::left);
+        });
+        if (f.for_ms > 0)
+          at(end, [this, t, s] {
+            start(t, s, true);
+            news(t, s, Listed::Health::active);
+          });
+      }
+      break;
+    case What::roll: {
+      auto steps =
+          (which.size() + static_cast<std::size_t>(f.at_once) - 1) / static_cast<std::size_t>(f.at_once);
+      for (std::size_t i = 0; i < which.size(); ++i) {
+        auto step = i / static_cast<std::size_t>(f.at_once);
+        double from = f.at_ms + f.for_ms * static_cast<double>(step) /
+                                    static_cast<double>(std::max<std::size_t>(steps, 1));
+        int s = which[i];
+        at(from, [this, t, s] { news(t, s, Listed::Health::leaving); });
+        at(from + f.drain_ms, [this, t, s] {
+          if (auto* m = server(t, s).model()) m->drain(true);
+        });
+        at(from + f.drain_ms + 300, [this, t, s] {
+          server(t, s).stop();
+          news(t, s, Listed::Health::left);
+        });
+        at(from + f.drain_ms + 300 + f.down_ms, [this, t, s] {
+          start(t, s, true);
+          news(t, s, Listed::Health::active);
+        });
+      }
+      break;
+    }
+    case What::drain:
+      for (int s : which) {
+        at(f.at_ms, [this, t, s] { news(t, s, Listed::Health::leaving); });
+        if (f.for_ms > 0) at(end, [this, t, s] { news(t, s, Listed::Health::active); });
+      }
+      break;
+    case What::slow:
+      trouble([times = f.times](Server& m) { m.slow(times); }, [](Server& m) { m.slow(1); });
+      break;
+    case What::fail:
+      trouble([share = f.share](Server& m) { m.fail(share); }, [](Server& m) { m.fail(0); });
+      break;
+    case What::silent:
+      trouble([](Server& m) { m.silent(true); }, [](Server& m) { m.silent(false); });
+      break;
+    case What::stall:
+      trouble([until = begin_ + end](Server& m) { m.stall(until); }, [](Server&) {});
+      break;
+    case What::discovery:
+      at(f.at_ms, [this, t] { tiers_[static_cast<std::size_t>(t)].agent->silent(true); });
+      at(end, [this, t] { tiers_[static_cast<std::size_t>(t)].agent->silent(false); });
+      break;
+    case What::mark:
+    case What::kill_balancer:
+    case What::restart_balancer:
+    case What::freeze_balancer:
+      break;  // those who run the balancers do that
+  }
+}
+
+const PrefixSpec* Fleet::prefix(std::string_view name) {
+  for (const auto& p : e_.prefixes)
+    if (p.name == name) return &p;
+  return nullptr;
+}
+
+std::shared_ptr<Repeats> Fleet::repeats(const PrefixSpec& p, int t, int s) {
+  const auto& spec = e_.tiers[static_cast<std::size_t>(t)];
+  std::string name = p.name + "/";
+  if (p.group == Group::zone) name += std::to_string(e_.zone_of(t, s));
+  if (p.group == Group::block)
+    name += spec.block > 0 ? std::to_string(s / spec.block) : "s" + std::to_string(s);
+  auto& r = tiers_[static_cast<std::size_t>(t)].repeats[name];
+  if (!r) r = std::make_shared<Repeats>();
+  return r;
+}
+
+bool Fleet::call(Backend& from, Ticket ticket, const PrefixSpec& p, std::string_view parent, int number,
+                 double until) {
+  const auto* to = prefix(p.calls_to);
+  int tier = -1;
+  for (std::size_t i = 0; i < tiers_.size(); ++i)
+    for (const auto& s : tiers_[i].servers)
+      if (s.get() == &from) tier = static_cast<int>(i);
+  if (!to || tier < 0 || !tiers_[static_cast<std::size_t>(tier)].caller || until - scene.now < 1)
+    return false;
+  auto token = next_call_++;
+  std::string id(parent);
+  id += "c" + std::to_string(number) + ".1";
+  calls_[token] = {&from, ticket, ledger_.tries.size(), tier};
+  ledger_.tries.push_back({.id = id,
+                           .visit = token,
+                           .tier = tier + 1,
+                           .prefix = static_cast<int>(to - e_.prefixes.data()),
+                           .intended = scene.now,
+                           .due = until});
+  last_on_[token] = ledger_.tries.size() - 1;
+  auto text = worded(
+      {.prefix = to, .id = id, .key = id, .tenant = e_.tenants.front().name, .budget_ms = until - scene.now});
+  tiers_[static_cast<std::size_t>(tier)].caller->ask(token, tier + 1, std::move(text), std::move(id), until);
+  return true;
+}
+
+void Fleet::ended(std::uint64_t token, const Caller::Outcome& o) {
+  auto it = calls_.find(token);
+  if (it == calls_.end()) return;
+  auto c = it->second;
+  calls_.erase(it);
+  auto& t = ledger_.tries[c.record];
+  t.fate = o.fate;
+  t.status = o.status;
+  t.balancer = o.target;
+  t.written = o.written;
+  t.ended = o.ended;
+  c.from->called(c.ticket, o.fate);
+}
+
+void Fleet::more(std::uint64_t token) {
+  if (auto it = last_on_.find(token); it != last_on_.end()) ledger_.tries[it->second].more = true;
+}
+
+int Fleet::deal(int group) {
+  auto& n = dealt_[static_cast<std::size_t>(group)];
+  return n++ % e_.tiers[static_cast<std::size_t>(group)].balancers;
+}
+
+void Fleet::fell(int tier, int server) {
+  ledger_.fallen.push_back({tier, server, scene.now});
+  news(tier, server, Listed::Health::left);
+}
+
+std::vector<Struck> Fleet::struck() const {
+  std::vector<Struck> all;
+  for (const auto& t : tiers_)
+    for (const auto& r : t.relays) {
+      auto here = r->struck();
+      all.insert(all.end(), here.begin(), here.end());
+    }
+  return all;
+}
+
+}  // namespace meadow::rehearsal
--- /dev/null
+++ b/src/rehearsal/fleet.hpp
@@ -0,0 +1,91 @@
+// The far side of the balancers: all servers, discovery's agents, the relays between sockets, and the day's
+// faults among them. Runs on a thread of its own; the ledger is read when that has ended.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "rehearsal/experiment.hpp"
+#include "rehearsal/stand/agent.hpp"
+#include "rehearsal/stand/backend.hpp"
+#include "rehearsal/stand/relay.hpp"
+
+namespace meadow::rehearsal {
+
+// Where everything of a run is: loopback addresses of its own, with ports that the system gave.
+struct Places {
+  int port = 0;
+  [[nodiscard]] transport::Address server(int tier, int server, int balancer) const;
+  [[nodiscard]] transport::Address relay(int tier, int server, int balancer) const;
+  [[nodiscard]] transport::Address balancer(int tier, int balancer) const;
+  [[nodiscard]] transport::Address agent(int tier, int balancer) const;
+};
+
+class Fleet final : public Backend::Around, public Caller::Sink, Scene::Part {
+ public:
+  // Listens everywhere. Throws where it can't.
+  Fleet(Scene& scene, const Experiment& e, std::uint64_t seed, const Places& places);
+  ~Fleet();
+
+  // The day begins: faults count from here.
+  void begin(double at);
+  void fell_due(std::uint64_t number) override;
+
+  // The list as a balancer would have it now. Not while the thread runs.
+  [[nodiscard]] std::string list(int tier, int balancer) const;
+  [[nodiscard]] Ledger& ledger() { return ledger_; }
+  [[nodiscard]] std::vector<Struck> struck() const;
+
+ private:
+  struct Act {
+    double at;
+    std::function<void()> what;
+  };
+  struct Tier {
+    std::vector<std::unique_ptr<Backend>> servers;
+    std::unique_ptr<Agent> agent;
+    std::unique_ptr<Caller> caller;  // to the next tier
+    std::vector<std::unique_ptr<Relay>> relays;
+    std::vector<std::unique_ptr<Plan>> plans;
+    std::map<std::string, std::shared_ptr<Repeats>> repeats;
+  };
+  struct Call {
+    Backend* from = nullptr;
+    Ticket ticket = 0;
+    std::size_t record = 0;
+    int tier = 0;
+  };
+  const PrefixSpec* prefix(std::string_view name) override;
+  std::shared_ptr<Repeats> repeats(const PrefixSpec& p, int tier, int server) override;
+  bool call(Backend& from, Ticket ticket, const PrefixSpec& p, std::string_view parent, int number,
+            double until) override;
+  void fell(int tier, int server) override;
+  void ended(std::uint64_t token, const Caller::Outcome& outcome) override;
+  void more(std::uint64_t token) override;
+  int deal(int group) override;
+
+  void plan(std::size_t fault);
+  void at(double ms, std::function<void()> what) { acts_.push_back({begin_ + ms, std::move(what)}); }
+  void start(int tier, int server, bool cold);
+  void news(int tier, int server, Listed::Health health);
+  Backend& server(int tier, int server) {
+    return *tiers_[static_cast<std::size_t>(tier)].servers[static_cast<std::size_t>(server)];
+  }
+
+  const Experiment& e_;
+  std::uint64_t seed_;
+  Places places_;
+  Ledger ledger_;
+  std::vector<Tier> tiers_;
+  std::vector<Act> acts_;
+  std::size_t next_act_ = 0;
+  double begin_ = 0, due_ = transport::DueTimes::none;
+  Rng rng_;
+  std::unordered_map<std::uint64_t, Call> calls_;
+  std::unordered_map<std::uint64_t, std::size_t> last_on_;  // token to record, for more()
+  std::uint64_t next_call_ = 1;
+  std::vector<int> dealt_;  // by tier
+};
+
+}  // namespace meadow::rehearsal
