--- a/src/rehearsal/figures.cpp
+++ b/src/rehearsal/figures.cpp
@@ -22,6 +22,7 @@
 
   Figures all() {
     f_.verdict = judge(p_.ledger, p_.terms);
+    f_.stopped = p_.stopped;
     f_.slices.resize(std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(p_.ms / f_.slice_ms))));
     for (std::size_t i = 0; i < f_.slices.size(); ++i)
       f_.slices[i].at_ms = static_cast<double>(i) * f_.slice_ms;
--- a/src/rehearsal/figures.hpp
+++ b/src/rehearsal/figures.hpp
@@ -50,6 +50,7 @@
   double balancer_us = 0;  // processor time of all balancers per visit
   double lag_p50 = 0, lag_p99 = 0, lag_most = 0;
   Verdict verdict;
+  bool stopped = false;
 };
 
 Figures figures_of(const Experiment& e, const Played& p);
--- a/src/rehearsal/main.cpp
+++ b/src/rehearsal/main.cpp
@@ -107,6 +107,7 @@
       // In turn, and every other pair the other way round, so that a drift of the machine favours neither.
       bool swapped = (i + static_cast<std::size_t>(round)) % 2 == 1;
       for (int k = 0; k < 2; ++k) {
+        if (asked_to_stop) return 130;
         bool second = (k == 1) != swapped;
         auto r = played(e, second ? y : x, s.seeds[i], s);
         kept = kept && r.figures.verdict.kept();
--- a/src/rehearsal/play.hpp
+++ b/src/rehearsal/play.hpp
@@ -24,6 +24,7 @@
   std::string experiment, build;
   std::uint64_t seed = 0;
   double begin = 0, ms = 0;
+  bool stopped = false;  // before its end: figures are of what was played
   Ledger ledger;
   Terms terms;
   Histogram lag;  // of the load tool
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -75,6 +75,7 @@
           {"rules", rules_kept},
           {"breaches", breaches},
           {"excused_by_planned_kills", f.verdict.excused},
+          {"stopped", f.stopped},
           {"visits", f.visits},
           {"in_target", f.in_target},
           {"late", f.late},
@@ -205,6 +206,7 @@
       "\n  balancers %.0f us a visit; load tool %.0f us a try, late by %.2f ms at the median, %.1f ms at "
       "most\n",
       f.balancer_us, f.load_us, f.lag_p50, f.lag_most);
+  if (f.stopped) out += "  STOPPED BEFORE ITS END: what was out then counts as unserved\n";
   if (f.lag_p99 > late_ms) out += "  THE LOAD TOOL WAS LATE: these figures are not the balancer's\n";
   for (const auto& x : f.recoveries)
     out +=
--- a/src/rehearsal/stand/door.cpp
+++ b/src/rehearsal/stand/door.cpp
@@ -4,6 +4,10 @@
 
 using transport::Stream;
 
+namespace {
+constexpr std::size_t most_unread = 16 << 20;
+}
+
 Door::~Door() = default;  // tells nobody: its host is going too
 
 int Door::listen(const transport::Address& at) {
@@ -93,7 +97,8 @@
   auto it = lines_.find(line);
   if (it == lines_.end()) return false;
   auto& c = *it->second;
-  if (c.stream.out().append(bytes) && c.stream.flush()) return true;
+  // A peer that reads nothing for long is given up.
+  if (c.stream.out().size() <= most_unread && c.stream.out().append(bytes) && c.stream.flush()) return true;
   close(c, false);
   return false;
 }
--- a/src/rehearsal/stand/relay.hpp
+++ b/src/rehearsal/stand/relay.hpp
@@ -20,8 +20,11 @@
   ~Relay();
 
   [[nodiscard]] transport::Address address() const { return listener_.address(); }
-  // All that struck, by connection.
-  [[nodiscard]] std::vector<Struck> struck() const;
+  // The latest that struck, in order of time, at most so many; `strikes()` counts all.
+  static constexpr std::size_t most_noted = 10000;
+  [[nodiscard]] const std::deque<Struck>& struck() const { return struck_; }
+  [[nodiscard]] std::size_t open() const { return pairs_.size(); }
+  [[nodiscard]] std::uint64_t strikes() const { return strikes_; }
   [[nodiscard]] std::uint64_t connections() const { return next_; }
   [[nodiscard]] std::uint64_t passed(Way way) const { return passed_[static_cast<std::size_t>(way)]; }
 
@@ -69,6 +72,7 @@
   bool act(Pair& p, const Strike& s);
   bool pour(Pair& p);
   void end(Pair& p, bool reset);
+  void note(Pair& p);
   void tick();
 
   Plan& plan_;
@@ -76,7 +80,8 @@
   double begin_, due_ = transport::DueTimes::none;
   std::unordered_map<std::uint64_t, std::unique_ptr<Pair>> pairs_;
   std::vector<std::unique_ptr<Pair>> buried_;
-  std::vector<Struck> struck_;
+  std::deque<Struck> struck_;
+  std::uint64_t strikes_ = 0;
   std::uint64_t next_ = 0, passed_[2] = {};
   transport::Listener listener_;
 };
--- a/tests/broken/broken.cpp
+++ b/tests/broken/broken.cpp
@@ -1,12 +1,16 @@
-// Four balancers that each break one rule on purpose, so that tests can show the rehearsal's ledger catches
+// Balancers that each break one rule on purpose, so that tests can show the rehearsal's ledger catches
 // them.
 #include <algorithm>
+#include <cstdlib>
 
 #include "plain.hpp"
 
 namespace meadow::baselines {
 
 int choose(std::span<const int> ready, State& s) {
+#ifdef BROKEN_CRASH
+  if (++s.turn > 150) std::_Exit(0);
+#endif
 #ifdef BROKEN_COLD
   // All that comes goes to the one that started last.
   return *std::max_element(ready.begin(), ready.end(), [&](int a, int b) {
