Rehearsal: each worker and tier hears of balancers; plots' names no longer overlap titles

Cause: of several load workers only the first heard that a balancer had died, calls to a later tier were dealt round without a front, and each looked for its tier among all servers; when to give up a retry was decided by the load tool. Change: news of balancers for each worker and for the fleet, the same front before every tier, Retries decides with the time left; names of a plot's lines stand below its title.

--- a/src/rehearsal/fleet.cpp
+++ b/src/rehearsal/fleet.cpp
@@ -29,11 +29,12 @@
 transport::Address Places::agent(int tier, int balancer) const { return made(113, tier, 1 + balancer, port); }
 
 Fleet::Fleet(Scene& scene, const Experiment& e, std::uint64_t seed, const Places& places)
-    : Part(scene), e_(e), seed_(seed), places_(places), rng_(mixed(seed, "fleet")), dealt_(e.tiers.size()) {
+    : Part(scene), e_(e), seed_(seed), places_(places), rng_(mixed(seed, "fleet")) {
   for (std::size_t i = 0; i < e.tiers.size(); ++i) {
     const auto& spec = e.tiers[i];
     int t = static_cast<int>(i);
     auto& tier = tiers_.emplace_back();
+    fronts_.emplace_back(std::vector<int>(static_cast<std::size_t>(spec.balancers), t), e.front_notices_ms);
     double kinds = 0;
     for (const auto& k : spec.kinds) kinds += k.share;
     std::vector<Listed> list;
@@ -178,12 +179,8 @@
 bool Fleet::call(Backend& from, Ticket ticket, const PrefixSpec& p, std::string_view parent, int number,
                  double until) {
   const auto* to = prefix(p.calls_to);
-  int tier = -1;
-  for (std::size_t i = 0; i < tiers_.size(); ++i)
-    for (const auto& s : tiers_[i].servers)
-      if (s.get() == &from) tier = static_cast<int>(i);
-  if (!to || tier < 0 || !tiers_[static_cast<std::size_t>(tier)].caller || until - scene.now < 1)
-    return false;
+  int tier = from.tier();
+  if (!to || !tiers_[static_cast<std::size_t>(tier)].caller || until - scene.now < 1) return false;
   std::string id(parent);
   id += "c" + std::to_string(number) + ".1";
   std::uint64_t token = ledger_.tries.size();
@@ -217,8 +214,11 @@
 void Fleet::more(std::uint64_t token) { ledger_.tries[token].more = true; }
 
 int Fleet::deal(int group) {
-  auto& n = dealt_[static_cast<std::size_t>(group)];
-  return n++ % e_.tiers[static_cast<std::size_t>(group)].balancers;
+  for (auto n : news_.take()) {
+    auto& front = fronts_[static_cast<std::size_t>(n.tier)];
+    n.up ? front.ready(n.balancer) : front.died(n.balancer, scene.now);
+  }
+  return fronts_[static_cast<std::size_t>(group)].deal(group, scene.now);
 }
 
 void Fleet::fell(int tier, int server) {
--- a/src/rehearsal/fleet.hpp
+++ b/src/rehearsal/fleet.hpp
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "rehearsal/experiment.hpp"
+#include "rehearsal/model/front.hpp"
 #include "rehearsal/model/schedule.hpp"
+#include "rehearsal/news.hpp"
 #include "rehearsal/stand/agent.hpp"
 #include "rehearsal/stand/backend.hpp"
 #include "rehearsal/stand/relay.hpp"
@@ -33,6 +35,8 @@
   void begin(double at);
   void fell_due(std::uint64_t number) override;
 
+  // Of later tiers; may be told from another thread.
+  [[nodiscard]] BalancerNews& balancer_news() { return news_; }
   // The list as a balancer would have it now. Not while the thread runs.
   [[nodiscard]] std::string list(int tier, int balancer) const;
   [[nodiscard]] Ledger& ledger() { return ledger_; }
@@ -77,7 +81,8 @@
   double begin_ = 0, due_ = transport::DueTimes::none;
   Rng rng_;
   std::unordered_map<std::uint64_t, Call> calls_;  // under way, by the try's place in the ledger
-  std::vector<int> dealt_;                         // by tier
+  std::vector<Front> fronts_;                      // before each tier
+  BalancerNews news_;
 };
 
 }  // namespace meadow::rehearsal
--- a/src/rehearsal/load.cpp
+++ b/src/rehearsal/load.cpp
@@ -22,14 +22,14 @@
 }  // namespace
 
 Load::Load(Scene& scene, const Experiment& e, std::uint64_t seed, std::vector<Caller::Target> targets,
-           LoadSignals& signals, int worker, int workers)
+           LoadCounts& counts, int worker, int workers)
     : Part(scene),
       e_(e),
       seed_(seed),
       traffic_(e.traffic, e.prefixes, e.tenants, seed, worker, workers),
       retries_(e.retries, seed),
       front_(groups_of(targets), e.front_notices_ms),
-      signals_(signals),
+      counts_(counts),
       caller_(scene, std::move(targets), *this,
               {.connections = static_cast<std::size_t>(e.most_connections), .rotate = e.connections > 0}),
       timer_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC)) {
@@ -73,13 +73,13 @@
 }
 
 void Load::send_due() {
-  for (auto [b, up] : signals_.take()) up ? front_.ready(b) : front_.died(b, scene.now);
+  for (auto n : news_.take()) n.up ? front_.ready(n.balancer) : front_.died(n.balancer, scene.now);
   while (begin_ + next_.at_ms < end_ && begin_ + next_.at_ms <= scene.now) {
     double intended = begin_ + next_.at_ms;
     lag_.add(scene.now - intended);
     const auto& p = e_.prefixes[static_cast<std::size_t>(next_.prefix)];
     send(next_.number, 1, next_.prefix, next_.tenant, next_.zone, intended, intended + p.timeout_ms);
-    signals_.asked.fetch_add(1, std::memory_order_relaxed);
+    counts_.asked.fetch_add(1, std::memory_order_relaxed);
     next_ = traffic_.next();
   }
   arm();
@@ -121,16 +121,16 @@
   t.written = o.written;
   t.ended = o.ended;
   t.advice = o.advice;
-  signals_.answered.fetch_add(1, std::memory_order_relaxed);
+  counts_.answered.fetch_add(1, std::memory_order_relaxed);
   if (t.fate == Fate::delivered) {
-    signals_.delivered.fetch_add(1, std::memory_order_relaxed);
+    counts_.delivered.fetch_add(1, std::memory_order_relaxed);
     return;
   }
   // What was surely not taken is as a bounce: nothing of it can have run.
   bool bounced = t.fate == Fate::bounced || t.fate == Fate::unreachable;
   bool mutating = e_.prefixes[static_cast<std::size_t>(t.prefix)].repeat == Repeat::mutating;
-  auto wait = retries_.after(t.visit, t.number, bounced, mutating, t.advice);
-  if (!wait || scene.now + *wait >= t.due - 10) return;
+  auto wait = retries_.after(t.visit, t.number, bounced, mutating, t.advice, t.due - scene.now);
+  if (!wait) return;
   t.last = false;
   auto& at = again_.emplace(token, transport::DueTimes::none).first->second;
   due(token, at, scene.now + *wait);
--- a/src/rehearsal/load.hpp
+++ b/src/rehearsal/load.hpp
@@ -3,49 +3,34 @@
 #pragma once
 
 #include <atomic>
-#include <mutex>
 #include <vector>
 
 #include "rehearsal/experiment.hpp"
 #include "rehearsal/model/front.hpp"
 #include "rehearsal/model/histogram.hpp"
+#include "rehearsal/news.hpp"
 #include "rehearsal/stand/caller.hpp"
 #include "transport/fd.hpp"
 
 namespace meadow::rehearsal {
 
-// What others may see and say while it runs.
-struct LoadSignals {
+// What others may see while it runs; shared by all workers of a day.
+struct LoadCounts {
   std::atomic<std::uint64_t> asked{0}, answered{0}, delivered{0};
-  // A balancer of the first tier has come up or died.
-  void balancer(int number, bool up) {
-    std::lock_guard lock(mutex_);
-    changes_.emplace_back(number, up);
-    changed_ = true;
-  }
-  std::vector<std::pair<int, bool>> take() {
-    if (!changed_.load(std::memory_order_relaxed)) return {};
-    std::lock_guard lock(mutex_);
-    changed_ = false;
-    return std::exchange(changes_, {});
-  }
-
- private:
-  std::mutex mutex_;
-  std::vector<std::pair<int, bool>> changes_;
-  std::atomic<bool> changed_{false};
 };
 
 class Load final : Caller::Sink, transport::Ready, Scene::Part {
  public:
   // `targets`: the balancers of the first tier, or the servers themselves.
   Load(Scene& scene, const Experiment& e, std::uint64_t seed, std::vector<Caller::Target> targets,
-       LoadSignals& signals, int worker = 0, int workers = 1);
+       LoadCounts& counts, int worker = 0, int workers = 1);
   ~Load();
 
   // Sends from `begin` on for the day's time, then waits for what is out.
   void begin(double begin);
   [[nodiscard]] bool over() const;
+  // Of the first tier; may be told from another thread.
+  [[nodiscard]] BalancerNews& news() { return news_; }
 
   std::vector<Try>& tries() { return tries_; }
   // How late visits were sent, as a cost of the tool itself.
@@ -68,7 +53,8 @@
   Traffic traffic_;
   Retries retries_;
   Front front_;
-  LoadSignals& signals_;
+  LoadCounts& counts_;
+  BalancerNews news_;
   Caller caller_;
   std::vector<Try> tries_;
   std::vector<int> zones_;                         // by try
--- a/src/rehearsal/model/traffic.cpp
+++ b/src/rehearsal/model/traffic.cpp
@@ -6,6 +6,8 @@
 namespace meadow::rehearsal {
 namespace {
 
+constexpr double least_left_ms = 10;
+
 template <class Shares>
 int drawn(const Shares& shares, double sum, double u) {
   double left = u * sum;
@@ -81,11 +83,14 @@
 }
 
 std::optional<double> Retries::after(std::uint64_t number, int tries, bool bounced, bool mutating,
-                                     double advice_ms) const {
+                                     double advice_ms, double left_ms) const {
   if (tries > spec_.most || (!bounced && (!spec_.after_errors || mutating))) return {};
   double wait = spec_.backoff_ms * std::exp2(tries - 1);
   wait *= 0.75 + 0.5 * uniform_of(mixed(seed_, "retry", number * 64 + static_cast<std::uint64_t>(tries)));
-  return spec_.heed_advice ? std::max(wait, advice_ms) : wait;
+  if (spec_.heed_advice) wait = std::max(wait, advice_ms);
+  // What could not come back in time is not sent.
+  if (wait + least_left_ms >= left_ms) return {};
+  return wait;
 }
 
 }  // namespace meadow::rehearsal
--- a/src/rehearsal/model/traffic.hpp
+++ b/src/rehearsal/model/traffic.hpp
@@ -88,10 +88,10 @@
 class Retries {
  public:
   Retries(const RetrySpec& spec, std::uint64_t seed) : spec_(spec), seed_(seed) {}
-  // After try number `tries` (from 1) of visit `number`. `advice_ms` 0: none. `mutating` visits are tried
-  // again only where they were bounced.
+  // After try number `tries` (from 1) of visit `number`, with so much of the client's time left. `advice_ms`
+  // 0: none. `mutating` visits are tried again only where they were bounced. Nothing: it is given up.
   [[nodiscard]] std::optional<double> after(std::uint64_t number, int tries, bool bounced, bool mutating,
-                                            double advice_ms) const;
+                                            double advice_ms, double left_ms) const;
   [[nodiscard]] bool marked() const { return spec_.marked; }
 
  private:
--- a/src/rehearsal/play.cpp
+++ b/src/rehearsal/play.cpp
@@ -190,7 +190,7 @@
     for (int b = 0; b < first.balancers; ++b) targets.push_back({places.balancer(0, b), b % zones});
 
   std::atomic<bool> far_over{false};
-  LoadSignals signals;
+  LoadCounts counts;
   struct Worker {
     std::unique_ptr<Scene> scene;
     std::unique_ptr<Load> load;
@@ -201,7 +201,7 @@
   for (int w = 0; w < e.workers; ++w) {
     auto& worker = *workers.emplace_back(std::make_unique<Worker>());
     worker.scene = std::make_unique<Scene>(clock);
-    worker.load = std::make_unique<Load>(*worker.scene, e, seed, targets, signals, w, e.workers);
+    worker.load = std::make_unique<Load>(*worker.scene, e, seed, targets, counts, w, e.workers);
   }
   std::atomic<bool> stopped{false};
   std::vector<std::jthread> threads;
@@ -228,7 +228,8 @@
   std::size_t next = 0;
   std::vector<BalancerEnd> ends;
   auto front = [&](const Running& r, bool up) {
-    if (r.tier == 0) signals.balancer(r.balancer, up);
+    if (r.tier > 0) return fleet.balancer_news().tell({r.tier, r.balancer, up});
+    for (auto& w : workers) w->load->news().tell({0, r.balancer, up});
   };
   double told = 0;
   for (;;) {
@@ -258,7 +259,7 @@
     }
     if (options.progress && now >= told + 250) {
       told = now;
-      options.progress(now - played.begin, signals.asked, signals.answered, signals.delivered);
+      options.progress(now - played.begin, counts.asked, counts.answered, counts.delivered);
     }
     if (options.stop && options.stop()) stopped = played.stopped = true;
     if (std::all_of(workers.begin(), workers.end(), [](const auto& w) { return w->over.load(); })) break;
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -125,7 +125,7 @@
 
 std::string plot(const Experiment& e, const Figures& f, const std::string& title, const std::string& unit,
                  const std::vector<Series>& series) {
-  constexpr double width = 860, height = 190, left = 60, bottom = 30, top = 24, right = 10;
+  constexpr double width = 860, height = 190, left = 60, bottom = 30, top = 36, right = 26;
   double most = 0, day = e.ms();
   for (const auto& s : series)
     for (const auto& x : f.slices) most = std::max(most, s.value(x));
@@ -151,11 +151,11 @@
   for (int i = 0; i <= 5; ++i)
     svg += text("<text x=\"%.1f\" y=\"%.0f\" class=\"a\" text-anchor=\"middle\">%.4g s</text>\n",
                 px(day * i / 5), height - bottom + 16, e.seconds * i / 5);
-  double at = left + 330;
+  double at = left;
   for (const auto& s : series) {
     svg += "<polyline fill=\"none\" stroke=\"" + s.colour + "\" stroke-width=\"1.6\" points=\"";
     for (const auto& x : f.slices) svg += text("%.1f,%.1f ", px(x.at_ms + f.slice_ms / 2), py(s.value(x)));
-    svg += "\"/>\n" + text("<text x=\"%.0f\" y=\"14\" class=\"a\" fill=\"%s\">%s</text>\n", at,
+    svg += "\"/>\n" + text("<text x=\"%.0f\" y=\"29\" class=\"a\" fill=\"%s\">%s</text>\n", at,
                            s.colour.c_str(), escaped(s.name).c_str());
     at += 14 + 7.0 * static_cast<double>(s.name.size());
   }
--- a/src/rehearsal/stand/backend.hpp
+++ b/src/rehearsal/stand/backend.hpp
@@ -43,6 +43,7 @@
   // Dies: connections are reset, new ones refused.
   void stop();
   [[nodiscard]] transport::Address address(int listener) const { return door_.address(listener); }
+  [[nodiscard]] int tier() const { return place_.tier; }
   [[nodiscard]] double born() const { return born_; }
   [[nodiscard]] Server* model() { return server_.get(); }
   void moved() { arm(); }  // the model was changed from outside
--- a/tests/rehearsal_model_test.cpp
+++ b/tests/rehearsal_model_test.cpp
@@ -97,14 +97,15 @@
 
 TEST(Retries, MutatingOnesOnlyAfterBouncesAndAdviceIsHeeded) {
   Retries r({.most = 2, .backoff_ms = 100}, 5);
-  EXPECT_TRUE(r.after(1, 1, true, true, 0));
-  EXPECT_FALSE(r.after(1, 1, false, true, 0));
-  EXPECT_TRUE(r.after(1, 1, false, false, 0));
-  EXPECT_FALSE(r.after(1, 3, true, false, 0));
-  EXPECT_GE(*r.after(1, 1, true, false, 5000), 5000);
-  EXPECT_EQ(r.after(9, 1, true, false, 0), r.after(9, 1, true, false, 0));
-  EXPECT_LE(*r.after(1, 1, true, false, 0), 125);
-  EXPECT_GE(*r.after(1, 2, true, false, 0), 150);
+  EXPECT_TRUE(r.after(1, 1, true, true, 0, 9000));
+  EXPECT_FALSE(r.after(1, 1, false, true, 0, 9000));
+  EXPECT_TRUE(r.after(1, 1, false, false, 0, 9000));
+  EXPECT_FALSE(r.after(1, 3, true, false, 0, 9000));
+  EXPECT_GE(*r.after(1, 1, true, false, 5000, 9000), 5000);
+  EXPECT_EQ(r.after(9, 1, true, false, 0, 9000), r.after(9, 1, true, false, 0, 9000));
+  EXPECT_FALSE(r.after(1, 1, true, false, 0, 85));  // too late to come back in time
+  EXPECT_LE(*r.after(1, 1, true, false, 0, 9000), 125);
+  EXPECT_GE(*r.after(1, 2, true, false, 0, 9000), 150);
 }
 
 TEST(ServerModel, CoresQueueAndTurningAway) {
