A silent watch on discovery is taken up anew after 3.4 s instead of 7 s

Cause: src/routing/discovery_client.cpp, silent_ms = 7000. What discovery has to tell counts as told after 6 s and a drain has 400 ms of grace, so a drain told right after the last sign of life was overdue before the watch was taken up. Ruled out: lists out of order (versions rise in all logs), lists that broke off (3, each taken up anew within 0.2 s), other tiers (their lists do not change).

Change: a sign of life comes every 2 s, so 3.4 s without one (up to a fifth less, drawn from the seed, as all watches may fall silent at one moment) is silence; a connection on which nothing at all came is given up after 1.5 s.

--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -16,9 +16,11 @@
 using transport::Stream;
 
 namespace {
-// A sign of life comes every 2 s; without one the watch is taken up anew.
-constexpr double silent_ms = 7000;
-// The agent is on this machine: if a whole list is not here by then it is asked for again.
+// A sign of life comes every 2 s; without one the watch is taken up anew, and early enough that a drain which
+// was told right after the last sign is still heard of in time. All watches may fall silent at one moment:
+// up to this share less, drawn each time, keeps their dials apart.
+constexpr double silent_ms = 3400, silent_spread = 0.2;
+// The agent is on this machine: if its first bytes, or a whole list, are not here by then it is asked again.
 constexpr double answer_ms = 1500;
 constexpr std::size_t longest_list = protocol::Lines::longest;
 constexpr double first_retry_ms = 100, last_retry_ms = 2000;
@@ -45,7 +47,7 @@
   if (!fd) return lost(std::strerror(errno));
   stream_ = std::make_unique<Stream>(loop_, pool_, std::move(fd), *this);
   up_ = false;
-  due_.set(due_key(due_kind, 0), due_at_, now_ + (whole_ ? answer_ms : silent_ms));
+  due_.set(due_key(due_kind, 0), due_at_, now_ + answer_ms);
 }
 
 void DiscoveryClient::move(std::optional<transport::Address> agent) {
@@ -87,7 +89,7 @@
     auto got = stream_->fill();
     if (got == Stream::Got::nothing) return;
     if (got != Stream::Got::bytes) return lost("the connection ended");
-    if (!whole_) due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms);
+    if (!whole_) due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms * (1 - silent_spread * chance()));
     stream_->consume(answer_.feed(stream_->bytes()));
     if (answer_.fault() != protocol::Fault::none) return lost("the answer makes no sense");
     if (answer_.head_whole()) {
@@ -132,6 +134,8 @@
   whole_ = false;
 }
 
+double DiscoveryClient::chance() { return static_cast<double>(rng_() % 1000) / 1000; }
+
 void DiscoveryClient::drop() {
   if (!stream_) return;
   stream_->close();
@@ -143,7 +147,7 @@
   drop();
   double wait = std::min(first_retry_ms * std::exp2(failures_), last_retry_ms);
   failures_ = std::min(failures_ + 1, 10);
-  wait *= 0.75 + 0.5 * static_cast<double>(rng_() % 1000) / 1000;
+  wait *= 0.75 + 0.5 * chance();
   due_.set(due_key(due_kind, 0), due_at_, now_ + wait);
   news_.emplace_back();
 }
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -41,6 +41,7 @@
   void listed();
   void drop();
   void lost(std::string_view why);
+  double chance();
 
   transport::Loop& loop_;
   transport::Pool& pool_;
