New servers without budget no longer count as sick, so quick failers stay benched

That server had been benched at 3 s by the same balancers. At one balancer 20 visits met it in 1.5 s, each answered with 500 after 1 ms, so it was always the idle one.

Ruled out: learning too late (the balancers' lines show it benched seconds before); forgetting (its id and birth did not change); the failing share's bound (the first failure of a trial benches at once).

Cause: src/brain/brain.cpp, pick(): fewer candidates than half of the ready servers was taken for 'most look sick', and then all are used. But candidates also lacked the servers that a rule kept out: at 10 s ten of fifteen ready servers were new, and at one balancer of many each of them has a budget for a visit in seconds. Nobody was sick but one, and that one was taken back by all at once.

Change: what is counted is what looks sick. With all servers warm it is the same number as before. Test at 3 and at 100 balancers: Sick.NewServersWithoutBudgetAreNoReasonToUseQuickFailers (12 and 15 visits without the change, 4 at most with it).

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -453,7 +453,7 @@
   int pick(const Visit& v, double now) {
     candidates.clear();
     double others = 0;
-    int known = 0, ready = 0;
+    int known = 0, ready = 0, sick = 0;
     // A trial of a server that may still fail costs a mutating visit, and nothing where the visit may run
     // again: of such there are few enough servers on trial to wait for one.
     bool lost_if_bad = some_run_again && prefix(v).repeat == Repeat::mutating;
@@ -468,8 +468,10 @@
         ++known;
       }
       if (cold(be, now)) refill(be, now);
-      if (usable(be, now) && !tried(v, i) &&
-          !(lost_if_bad && be.trial && now < be.bench_until + trial_waits_ms) && permitted(v, i, now))
+      if (tried(v, i)) continue;
+      if (!usable(be, now) || (lost_if_bad && be.trial && now < be.bench_until + trial_waits_ms))
+        ++sick;
+      else if (permitted(v, i, now))
         candidates.push_back(i);
     }
     if (stage == 0 && v.sent == 0) {
@@ -477,8 +479,9 @@
       turned_away += calm_gain * (full - turned_away);
       if (full) return -1;
     }
-    // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used.
-    if (candidates.empty() || static_cast<double>(candidates.size()) < panic_share * (ready - v.sent)) {
+    // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used. What a
+    // rule keeps from a visit is not sick: with most servers new and cold, the quick failers were used again.
+    if (candidates.empty() || sick > (1 - panic_share) * (ready - v.sent)) {
       candidates.clear();
       for (int i : listed)
         if (permitted(v, i, now) && (!tried(v, i) || ready == 1)) candidates.push_back(i);
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -120,6 +120,28 @@
   EXPECT_GT(w.sends[0] + w.sends[1] + w.sends[2], before);
 }
 
+// With most servers new and without budget at the moment, the few that look sick are no majority: one that
+// fails at once is not used again because the well ones may not be.
+TEST(Sick, NewServersWithoutBudgetAreNoReasonToUseQuickFailers) {
+  for (const char* replicas : {"3", "100"}) {
+    World w({.share = 0.05}, 16, 3, {{"replicas_of_me", replicas}, {"stage", "1"}});
+    auto rounds = [&](int n) {
+      for (int i = 0; i < n; ++i, w.pass(20)) {
+        int id = w.knock(1, 5000);
+        if (auto it = w.visits.find(id); it != w.visits.end())
+          w.end(id, 0, it->second.v.fetches[0].be == 0 ? Status::error : Status::delivered);
+      }
+    };
+    rounds(300);
+    for (std::size_t i = 6; i < 16; ++i) w.entries[i].up_since = w.now;
+    w.tell(ListKind::full, w.entries);
+    int before = w.sends[0];
+    rounds(250);  // 5 s: a trial after each bench, and no more
+    EXPECT_LE(w.sends[0] - before, 4) << replicas;
+    EXPECT_EQ(w.check.breach, "");
+  }
+}
+
 // A retry storm multiplies over tiers: fetches beyond the first stay within a share of the visits.
 TEST(Repeats, StayWithinTheirBudget) {
   World w({}, 4, 3);
