Lists out of order bring back nothing that drains or has left

Need: the issue asks that drains once heard are kept when discovery's lists come late, partial, reordered or empty. Change: routing/roster, values only: of each server the newest version counts, a drain whatever its version; versions that began anew are believed after 20 s. Tests: 600 shuffled histories of lists at 3 and 60 servers end as in their own order (found that an older drain brought back what a newer whole list had dropped); a service that keeps a drain against older lists; a client that asks again.

--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -128,7 +128,7 @@
     columns_.push_back(left.substr(0, left.find(',')));
     left.remove_prefix(std::min(left.size(), columns_.back().size() + 1));
   }
-  list(ListKind::cached, setup.known);
+  list(ListKind::cached, roster_.take(setup.known, now_));
   discovery_.connect();
 }
 
@@ -152,7 +152,7 @@
 void Balancer::hand_over() {
   for (auto& news : std::exchange(discovery_.news(), {})) {
     if (news)
-      list(news->whole ? ListKind::full : ListKind::delta, *news);
+      told(std::move(*news));
     else
       brain_.list(ListKind::failed, {}, now_);
   }
@@ -327,6 +327,15 @@
                 now_);
 }
 
+// Lists may come out of order: what is older than what was heard changes nothing.
+void Balancer::told(protocol::Listing news) {
+  if (news.seq < roster_.newest())
+    say_(Level::info, "discovery: list " + std::to_string(news.seq) + " is older than " +
+                          std::to_string(roster_.newest()) + ", which was heard before");
+  auto l = roster_.take(std::move(news), now_);
+  list(l.whole ? ListKind::full : ListKind::delta, l);
+}
+
 void Balancer::list(ListKind kind, const protocol::Listing& listing) {
   entries_.clear();
   std::vector<bool> there(upstreams_.size());
@@ -379,6 +388,10 @@
   clients_.sweep();
   if (now_ < sweep_at_) return;
   sweep_at_ = now_ + sweep_every_ms;
+  if (auto l = roster_.settled(now_)) {
+    say_(Level::warning, "discovery: only older lists for long, its versions began anew");
+    list(ListKind::full, *l);
+  }
   upstreams_.reap([this](int be) { return visits_.uses(be); });
   pool_.trim();
 }
@@ -427,7 +440,10 @@
                                          : std::to_string(setup.known.hosts.size()) + " servers listed"));
   if (setup.settings != settings_) say_(Level::info, "changed settings hold from the next start on");
   discovery_.move(setup.discovery);
-  if (!setup.discovery) list(ListKind::full, setup.known);
+  roster_.begin_anew();
+  if (setup.discovery) return;
+  roster_ = Roster();
+  list(ListKind::full, roster_.take(setup.known, now_));
 }
 
 // --- A planned end -------------------------------------------------------------------------------------
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -13,6 +13,7 @@
 #include "protocol/discovery.hpp"
 #include "routing/clients.hpp"
 #include "routing/discovery_client.hpp"
+#include "routing/roster.hpp"
 #include "routing/upstreams.hpp"
 #include "routing/visits.hpp"
 #include "transport/clock.hpp"
@@ -77,6 +78,7 @@
   void gone(ClientId client);
   ClientId answering(Job job);
   void ended(Ending& e);
+  void told(protocol::Listing news);
   void list(ListKind kind, const protocol::Listing& listing);
   void tick();
   void step_down();
@@ -92,6 +94,7 @@
   Upstreams upstreams_;
   Clients clients_;
   DiscoveryClient discovery_;
+  Roster roster_;
 
   std::vector<std::string> repeats_;  // of the path prefixes, in the settings' words
   std::vector<std::string> prefixes_, tenants_, zones_, kinds_;
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -64,6 +64,7 @@
   answer_.reset();
   lines_ = {};
   list_.clear();
+  missed_ = false;
   std::string target(protocol::names::list);
   if (!whole_) target.append("?watch=1&after=").append(std::to_string(after_));
   return protocol::write_get(stream_->out(), agent_->text(), target);
@@ -72,7 +73,7 @@
 void DiscoveryClient::fell_due() {
   due_.set(due_key(due_kind, 0), due_at_, transport::DueTimes::none);
   if (stream_)
-    lost("nothing heard for long");
+    lost(missed_ ? "a line could not be read" : "nothing heard for long");
   else
     connect();
 }
@@ -89,7 +90,7 @@
     auto got = stream_->fill();
     if (got == Stream::Got::nothing) return;
     if (got != Stream::Got::bytes) return lost("the connection ended");
-    if (!whole_) due_.set(due_key(due_kind, 0), due_at_, now_ + silent_ms * (1 - silent_spread * chance()));
+    if (!whole_ && !missed_) hear_by(silent_ms);
     stream_->consume(answer_.feed(stream_->bytes()));
     if (answer_.fault() != protocol::Fault::none) return lost("the answer makes no sense");
     if (answer_.head_whole()) {
@@ -118,10 +119,16 @@
   std::string why = "no list";
   auto value = protocol::Json::parse(line, &why);
   auto listing = value ? protocol::read_listing(*value) : std::nullopt;
-  if (!listing) return say_(Level::warning, "discovery: a line is skipped: " + why);
+  if (!listing) {
+    // What it told is asked for again, from the last line that could be read, but not at once: an agent that
+    // tells nothing else would be asked without end.
+    if (!whole_ && !missed_) hear_by(answer_ms);
+    missed_ = true;
+    return say_(Level::warning, "discovery: a line is skipped: " + why);
+  }
   for (const auto& wrong : listing->skipped) say_(Level::warning, "discovery: skipped: " + wrong);
   failures_ = 0;
-  after_ = listing->seq;
+  if (!missed_) after_ = listing->seq;
   news_.push_back(std::move(listing));
 }
 
@@ -134,6 +141,10 @@
   whole_ = false;
 }
 
+void DiscoveryClient::hear_by(double ms) {
+  due_.set(due_key(due_kind, 0), due_at_, now_ + ms * (1 - silent_spread * chance()));
+}
+
 double DiscoveryClient::chance() { return static_cast<double>(rng_() % 1000) / 1000; }
 
 void DiscoveryClient::drop() {
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -41,6 +41,7 @@
   void listed();
   void drop();
   void lost(std::string_view why);
+  void hear_by(double ms);
   double chance();
 
   transport::Loop& loop_;
@@ -54,6 +55,7 @@
   std::unique_ptr<transport::Stream> stream_;
   std::vector<std::unique_ptr<transport::Stream>> buried_;
   bool up_ = false;
+  bool missed_ = false;  // a line of this watch could not be read
   bool whole_ = false;  // the whole list is wanted before the watch
   std::string list_;    // as much of it as has come
   protocol::Message answer_;
--- /dev/null
+++ b/src/routing/roster.cpp
@@ -0,0 +1,118 @@
+#include "routing/roster.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace meadow::routing {
+
+using protocol::Host;
+using protocol::Listing;
+
+namespace {
+// Lists of lower versions alone for so long: no delay lasts that long, so they are a new count.
+constexpr double anew_after_ms = 20000;
+// What has left is remembered so that an older list does not bring it back; the oldest go first.
+constexpr std::size_t most_words = 20000;
+}  // namespace
+
+// Under one name and one start a server goes on from active to leaving to left; where versions can't tell
+// which word is the newer one, it does not come back.
+void Roster::note(Host& h, std::int64_t seq) {
+  auto& w = words_[h.name];
+  if (anew_ && h.health == Host::Health::active && w.health == Host::Health::leaving &&
+      w.born_ms >= h.born_ms)
+    h.health = Host::Health::leaving;
+  w = {.seq = std::max(seq, w.seq), .born_ms = h.born_ms, .health = h.health};
+}
+
+// A drain is the later word on one start of a server, whatever the versions: an older list that tells it may
+// be of a new count.
+bool Roster::is_news(const Host& h, std::int64_t seq) const {
+  auto it = words_.find(h.name);
+  if (it == words_.end()) return whole_ < seq;
+  const auto& w = it->second;
+  bool there = w.health == Host::Health::active && w.seq >= whole_;
+  return version_of(w) < seq || (there && h.health == Host::Health::leaving && h.born_ms >= w.born_ms);
+}
+
+void Roster::note_all(Listing& list) {
+  for (auto& h : list.hosts) note(h, list.seq);
+  newest_ = list.seq;
+  if (list.whole) whole_ = list.seq;
+  anew_ = false;
+  behind_since_ = {};
+  behind_ = {};
+  forget();
+}
+
+Listing Roster::take(Listing list, double now) {
+  if (list.seq >= newest_) {
+    note_all(list);
+    return list;
+  }
+  behind(list, now);
+  // Of each server the newest word counts; a whole list is a word on all of them.
+  Listing news{.seq = list.seq, .whole = false, .hosts = {}, .skipped = {}};
+  if (list.whole) {
+    std::unordered_map<std::string_view, bool> named;
+    for (const auto& h : list.hosts) named[h.name] = true;
+    for (const auto& [name, w] : words_)
+      if (w.health != Host::Health::left && version_of(w) < list.seq && !named.contains(name))
+        news.hosts.push_back(
+            {.name = name, .dial = {}, .zone = {}, .kind = {}, .health = Host::Health::left});
+  }
+  for (auto& h : list.hosts)
+    if (is_news(h, list.seq)) news.hosts.push_back(std::move(h));
+  for (auto& h : news.hosts) note(h, list.seq);
+  if (list.whole) whole_ = std::max(whole_, list.seq);
+  forget();
+  return news;
+}
+
+void Roster::behind(const Listing& list, double now) {
+  if (!behind_since_) behind_since_ = now;
+  if (list.whole) {
+    behind_ = list;
+    return;
+  }
+  if (!behind_) return;
+  behind_->seq = list.seq;
+  for (const auto& h : list.hosts) {
+    auto it = std::find_if(behind_->hosts.begin(), behind_->hosts.end(),
+                           [&](const Host& k) { return k.name == h.name; });
+    if (it == behind_->hosts.end())
+      behind_->hosts.push_back(h);
+    else
+      *it = h;
+  }
+  std::erase_if(behind_->hosts, [](const Host& h) { return h.health == Host::Health::left; });
+}
+
+std::optional<Listing> Roster::settled(double now) {
+  if (!behind_ || now - *behind_since_ < anew_after_ms) return {};
+  auto list = std::move(*behind_);
+  begin_anew();
+  note_all(list);
+  return list;
+}
+
+void Roster::begin_anew() {
+  newest_ = whole_ = none;
+  for (auto& [name, w] : words_) w.seq = none;
+  anew_ = true;
+  behind_since_ = {};
+  behind_ = {};
+}
+
+void Roster::forget() {
+  if (words_.size() <= most_words) return;
+  std::vector<std::pair<std::int64_t, std::string>> left;
+  for (const auto& [name, w] : words_)
+    if (w.health == Host::Health::left || w.seq < whole_) left.emplace_back(w.seq, name);
+  std::sort(left.begin(), left.end());
+  left.resize(std::min(left.size(), words_.size() - most_words / 2));
+  for (const auto& [seq, name] : left) words_.erase(name);
+}
+
+}  // namespace meadow::routing
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -4,10 +4,13 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <map>
+#include <random>
 #include <set>
 #include <string>
 
 #include "routing/discovery_client.hpp"
+#include "routing/roster.hpp"
 #include "transport/listener.hpp"
 
 namespace meadow::routing {
@@ -126,5 +129,132 @@
   }
 }
 
+// A line that can't be read may have told of a drain: it is asked for again from the last one that could be,
+// though other lines go on coming, and an agent that tells nothing else is not asked without end.
+TEST(Discovery, WhatAnUnreadableLineToldIsAskedForAgain) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Watching w(seed);
+    ASSERT_TRUE(w.watch(empty_list).starts_with("GET "));
+    w.agent.say("9\r\n{\"seq\":6\n\r\n");
+    w.turn();
+    w.agent.say("23\r\n{\"seq\":7,\"whole\":false,\"hosts\":[]}\n\r\n");
+    w.turn();
+    w.go(w.now + 1000);
+    ASSERT_FALSE(w.dialled());
+    w.go(w.now + 800);
+    ASSERT_TRUE(w.watch(empty_list).starts_with("GET /api/targets?watch=1&after=5 "));
+  }
+}
+
+// --- Lists out of order --------------------------------------------------------------------------------
+
+using protocol::Host;
+using protocol::Listing;
+
+Host host(const std::string& name, Host::Health health = Host::Health::active, double born = 1) {
+  return {.name = name, .dial = name + ":1", .zone = "a", .kind = "k", .health = health, .born_ms = born};
+}
+
+// Who is there by what is carried out of the lists, as the balancer does it.
+std::map<std::string, std::pair<Host::Health, double>> shown(const std::vector<Listing>& lists, Roster& r) {
+  std::map<std::string, std::pair<Host::Health, double>> there;
+  for (const auto& l : lists) {
+    auto news = r.take(l, 0);
+    if (news.whole) there.clear();
+    for (const auto& h : news.hosts)
+      if (h.health == Host::Health::left)
+        there.erase(h.name);
+      else
+        there[h.name] = {h.health, h.born_ms};
+  }
+  return there;
+}
+
+// Whatever order a discovery's lists come in, changes and whole ones, and however often: the newest counts.
+TEST(Lists, InAnyOrderEndAsInTheirOwn) {
+  std::mt19937 rng(11);
+  for (int servers : {3, 60})
+    for (int round = 0; round < 300; ++round) {
+      std::map<std::string, Host> truth;
+      std::vector<Listing> told;
+      int next = 0;
+      for (int seq = 1; seq <= 12; ++seq) {
+        Listing l{.seq = seq, .whole = seq == 1 || rng() % 3 == 0, .hosts = {}, .skipped = {}};
+        for (int i = 0; i < (seq == 1 ? servers : static_cast<int>(rng() % 4)); ++i) {
+          if (seq == 1 || truth.empty() || rng() % 3 == 0) {
+            auto h = host("s" + std::to_string(next++), Host::Health::active, seq);
+            truth[h.name] = h;
+            l.hosts.push_back(h);
+            continue;
+          }
+          auto it = std::next(truth.begin(), static_cast<long>(rng() % truth.size()));
+          bool drains = it->second.health == Host::Health::leaving;
+          it->second.health = drains ? Host::Health::left : Host::Health::leaving;
+          l.hosts.push_back(it->second);
+          if (drains) truth.erase(it);
+        }
+        if (l.whole) {
+          l.hosts.clear();
+          for (const auto& [name, h] : truth) l.hosts.push_back(h);
+        }
+        told.push_back(l);
+      }
+      Roster in_order;
+      auto right = shown(told, in_order);
+      // The first is what a balancer starts with.
+      std::shuffle(told.begin() + 1, told.end(), rng);
+      told.push_back(told[rng() % told.size()]);
+      Roster any;
+      ASSERT_EQ(shown(told, any), right) << "round " << round;
+    }
+}
+
+TEST(Lists, OlderOnesBringNothingBack) {
+  Roster r;
+  r.take({.seq = 5, .whole = true, .hosts = {host("x"), host("y")}, .skipped = {}}, 0);
+  r.take({.seq = 7, .whole = false, .hosts = {host("x", Host::Health::leaving)}, .skipped = {}}, 0);
+  r.take({.seq = 8, .whole = true, .hosts = {host("x", Host::Health::leaving)}, .skipped = {}}, 0);
+  for (bool whole : {true, false}) {
+    auto old =
+        r.take({.seq = 6, .whole = whole, .hosts = {host("x"), host("y"), host("z")}, .skipped = {}}, 0);
+    EXPECT_FALSE(old.whole);
+    EXPECT_TRUE(old.hosts.empty());
+  }
+  auto empty = r.take({.seq = 6, .whole = true, .hosts = {}, .skipped = {}}, 0);
+  EXPECT_TRUE(empty.hosts.empty() && !empty.whole);
+}
+
+// A discovery that counts from 1 again: drains it tells hold at once, all else after 20 s of nothing newer,
+// and what drained before does not come back by its first list.
+TEST(Lists, AreBelievedWhenTheirVersionsBeganAnew) {
+  Roster r;
+  r.take({.seq = 90, .whole = true, .hosts = {host("x"), host("y"), host("w")}, .skipped = {}}, 0);
+  r.take({.seq = 91, .whole = false, .hosts = {host("y", Host::Health::leaving)}, .skipped = {}}, 0);
+  r.take({.seq = 1, .whole = true, .hosts = {host("x"), host("y"), host("v")}, .skipped = {}}, 1000);
+  auto drain =
+      r.take({.seq = 2, .whole = false, .hosts = {host("x", Host::Health::leaving)}, .skipped = {}}, 2000);
+  ASSERT_EQ(drain.hosts.size(), 1U);
+  EXPECT_EQ(drain.hosts[0].health, Host::Health::leaving);
+  EXPECT_FALSE(r.settled(20900));
+  auto all = r.settled(21100);
+  ASSERT_TRUE(all && all->whole);
+  std::map<std::string, Host::Health> there;
+  for (const auto& h : all->hosts) there[h.name] = h.health;
+  EXPECT_EQ(there,
+            (std::map<std::string, Host::Health>{
+                {"x", Host::Health::leaving}, {"y", Host::Health::leaving}, {"v", Host::Health::active}}));
+  EXPECT_EQ(r.take({.seq = 3, .whole = false, .hosts = {host("y")}, .skipped = {}}, 22000).hosts.size(), 1U);
+}
+
+TEST(Lists, OfAnEndlessReleaseAreNotRememberedForGood) {
+  Roster r;
+  for (int i = 1; i < 60000; ++i) {
+    auto name = "s" + std::to_string(i);
+    r.take({.seq = 2 * i, .whole = false, .hosts = {host(name)}, .skipped = {}}, i);
+    r.take({.seq = 2 * i + 1, .whole = false, .hosts = {host(name, Host::Health::left)}, .skipped = {}}, i);
+  }
+  EXPECT_LE(r.remembered(), 20001U);
+}
+
 }  // namespace
 }  // namespace meadow::routing
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -679,18 +679,37 @@
   EXPECT_FALSE(s.upstreams[0].dialled());
 }
 
+// A list that was on its way for long comes after the drain.
+TEST(Service, ADrainIsKeptWhateverAnOlderListSays) {
+  Service s;
+  auto d = watch(s);
+  std::string x = host(0, s.upstreams[0].address()), y = host(1, s.upstreams[1].address());
+  tell(d, listing(7, true, {host(0, s.upstreams[0].address(), "leaving"), y}));
+  tell(d, listing(5, true, {x, y}));
+  tell(d, listing(6, false, {x}));
+  s.logged("list 6 is older than 7");
+  for (int i = 0; i < 6; ++i) {
+    auto client = s.connect();
+    client.say(visit("/pay"));
+    auto up = answered(s.upstreams[1], sized("HTTP/1.1 200 OK\r\nConnection: close", ""));
+    EXPECT_EQ(status_of(client.hear()), 200);
+  }
+  EXPECT_FALSE(s.upstreams[0].dialled());
+}
+
 TEST(Service, IdleConnectionsToDepartedAndRestartedUpstreamsAreDropped) {
   Service s({.upstreams = 1});
   auto d = watch(s);
+  int seq = 1;
   for (std::string health : {"left", "active"}) {
     auto client = s.connect();
     client.say(visit("/pay"));
     auto up = answered(s.upstreams[0], ok);
     EXPECT_EQ(status_of(client.hear()), 200);
-    tell(d, listing(2, false, {host(0, s.upstreams[0].address(), health, health == "left" ? 0 : 1e12)}));
+    tell(d, listing(++seq, false, {host(0, s.upstreams[0].address(), health, health == "left" ? 0 : 1e12)}));
     EXPECT_TRUE(up.ended());
-    tell(d, listing(3, false, {host(0, s.upstreams[0].address(), "active", 0)}));
-    tell(d, listing(4, false, {R"({"host":"mark","health":"odd"})"}));
+    tell(d, listing(++seq, false, {host(0, s.upstreams[0].address(), "active", 0)}));
+    tell(d, listing(++seq, false, {R"({"host":"mark","health":"odd"})"}));
     s.logged("mark: unknown health");  // by then the line before it has been read
   }
 }
