Each of many looks beyond its zone by its part of the zone's looks

Cause: spill_least, a floor for each instance that grows with their number (Core::tick). Change: spill_least over the instances of the zone, ten at most, so that what changed elsewhere is still heard of. Nothing changes where one instance stands for a zone.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -61,7 +61,8 @@
 constexpr double room_floor = 2;
 
 // Zones, where crossing has a price: a share of the picks looks beyond the own zone, more while it is slower.
-constexpr double spill_least = 0.03;
+constexpr double spill_least = 0.03;  // of all instances of the zone, over up to so many of them
+constexpr double spill_over = 10;
 constexpr double near_times = 0.7;  // of what is no crowd: a zone whose servers hold that spills at once
 constexpr double spill_up = 0.01;   // each tick
 constexpr double spill_down = 0.005;
@@ -201,6 +202,7 @@
     double of_zone = replicas / (1 + static_cast<double>(std::count(zones.begin(), zones.end(), ',')));
     near_full = near_times * room_floor * tiers / of_zone;
     others_here = std::max(0.0, 1 - 1 / of_zone);
+    spill = beyond = spill_least / std::clamp(of_zone, 1.0, spill_over);
     wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
@@ -826,7 +828,7 @@
       // By how much busier the own zone is than it may be; by times it is only known whether.
       double fuller = far_util > 0 ? near_util - std::max(zone_busy, zone_slower * far_util)
                                    : (near_took > zone_slower * far_took ? spill_up / spill_gain : -1);
-      spill = std::clamp(spill + std::max(spill_gain * fuller, -spill_down), spill_least, 1.0);
+      spill = std::clamp(spill + std::max(spill_gain * fuller, -spill_down), beyond, 1.0);
     }
     if (probing && !listed.empty()) choose_probes(c.probe, now);
     double warm = 0;
@@ -862,7 +864,8 @@
   int max_fetches = 1;
   bool second_copies = false, cancelling = false, asks = false, weighted = false, crossing_costs = false;
   int zone = 0;
-  double near_full = never, others_here = 0, spill = spill_least, near_took = 0, far_took = 0;
+  double near_full = never, others_here = 0, spill = spill_least, beyond = spill_least, near_took = 0,
+         far_took = 0;
   double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
          late_held = 0, late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
          overload_factor = 2;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -417,6 +417,19 @@
     EXPECT_LT(crossed("2", 0.3F, far), 25);  // alone in its zone: its part is all
 }
 
+// Each of many looked beyond its zone as often as one of a few, and each look is paid for.
+TEST(Pick, OfManyLooksBeyondItsZoneByItsPartOfThem) {
+  auto crossed = [](const char* replicas) {  // of some 2,000 visits
+    World w({}, 8, 5,
+            {{"fees.cross_zone", "0.05"}, {"zone", "0"}, {"zones", "a,b"}, {"replicas_of_me", replicas}});
+    w.stream(0, 30, 60000, [](int) { return 10.0; });
+    return w.sends[1] + w.sends[3] + w.sends[5] + w.sends[7];
+  };
+  EXPECT_GT(crossed("2"), 20);
+  EXPECT_LT(crossed("60"), 10);
+  EXPECT_GT(crossed("60"), 0);
+}
+
 // A hundred instances that each let chance pass filled the tier (alex-main-later big-1): chance is allowed
 // on top of a mean, not on top of a full room.
 TEST(Room, LetsChancePassOnlyWhileTheMeanIsUnder) {
