--- a/bench/baselines/plain.cpp
+++ b/bench/baselines/plain.cpp
@@ -127,6 +127,8 @@
 void Brain::probed(int, Status, double, const Gauge&, double) {}
 Chores Brain::tick(double) { return {}; }
 double Brain::tick_every() const { return core_->tick_ms; }
+void Brain::shut(int, bool, double) {}
+int Brain::avoided(double) const { return 0; }
 double Brain::drop(double) const { return 0; }
 
 }  // namespace meadow
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -30,6 +30,7 @@
 constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
+constexpr double back_waits_ms = 2000;   // put back by hand, for a visit that may run again to try it
 constexpr double trial_waits_ms = 4000;  // after a bench, for a visit that may run again to try the server
 constexpr double forgiven_ms = 10000;    // well for this long: relapses are forgotten
 constexpr double slow_prior = 2;         // outcomes' worth of doubt in that mean
@@ -151,6 +152,9 @@
   bool trial = false;                   // back from the bench, one visit at a time
   double load = 0, looked_at = -never;  // the last look; none once a visit went there
   double tokens = cold_burst, tokens_at = 0, failed_at = -never;
+  bool shut = false;        // by an operator's hand
+  double shut_at = -never;  // and since when
+  double back_at = -never;  // put back, and not tried since
 };
 
 bool ran_maybe(const Fetch& f) {
@@ -364,6 +368,8 @@
     kind_slow[be.sku] += kind_gain * (excess - kind_slow[be.sku]);
   }
 
+  [[nodiscard]] static bool open(const Be& be) { return be.standing == Standing::ready && !be.shut; }
+
   [[nodiscard]] bool benched(const Be& be, double now) const { return be.trial && be.bench_until > now; }
 
   // Nothing heard for long while something is out and others answer. The more is out, the less time chance
@@ -423,7 +429,7 @@
     if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
     // The last fetch was given up for want of time: another would put off the final answer past the due time.
     if (v.sent > 0 && now >= v.due - last_ticks * wire_tick) return false;
-    if (be.standing != Standing::ready) return false;
+    if (be.standing != Standing::ready || be.shut) return false;
     if (cold(be, now) && be.tokens < 1 && !alone(be, now)) return false;
     const auto& p = prefix(v);
     for (int n = 0; n < v.sent; ++n) {
@@ -475,10 +481,10 @@
     // again: of such there are few enough servers on trial to wait for one.
     bool lost_if_bad = some_run_again && prefix(v).repeat == Repeat::mutating;
     warm_ready = 0;
-    for (int i : listed) warm_ready += bes[i].standing == Standing::ready && !cold(bes[i], now);
+    for (int i : listed) warm_ready += open(bes[i]) && !cold(bes[i], now);
     for (int i : listed) {
       auto& be = bes[i];
-      if (be.standing != Standing::ready) continue;
+      if (!open(be)) continue;
       ++ready;
       if (!be.fresh) {
         others += be.out;
@@ -504,6 +510,8 @@
         if (permitted(v, i, now) && (!tried(v, i) || ready == 1)) candidates.push_back(i);
       if (candidates.empty()) return -1;
     }
+    for (int i : candidates)
+      if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
     if (crossing_costs && uniform() >= spill) {
       auto far = [this](int i) { return bes[i].zone != zone; };
       // Reports tell of a zone with more traffic than servers a second late, and by then its servers were
@@ -597,7 +605,7 @@
     for (probes_due = std::min(probes_due, probes_at_once); probes_due >= 1; probes_due -= 1) {
       int i = listed[rng() % listed.size()];
       const auto& be = bes[i];
-      if (be.standing == Standing::ready && !cold(be, now) && (!crossing_costs || be.zone == zone) &&
+      if (open(be) && !cold(be, now) && (!crossing_costs || be.zone == zone) &&
           now - be.looked_at > look_most_ms)
         chosen.push_back(i);
     }
@@ -632,7 +640,7 @@
   Answer send(Visit& v, int i, double now) {
     auto& be = bes[i];
     if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
-    be.looked_at = -never;
+    be.looked_at = be.back_at = -never;
     if (be.out++ == 0) be.waiting_since = now;
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
@@ -777,9 +785,8 @@
       bool known = std::find(listed.begin(), listed.end(), e.be) != listed.end();
       if (!known) listed.push_back(e.be);
       if (!known || e.up_since > be.up_since) {
-        int out = be.out;
-        be = Be{};
-        be.out = out;
+        be =
+            Be{.out = be.out, .shut = be.shut, .shut_at = be.shut_at, .back_at = known ? be.back_at : -never};
         be.waiting_since = now;
         be.tokens_at = now;
       }
@@ -790,6 +797,8 @@
       be.weight = weighted && e.weight > 0 ? e.weight : 1;
       be.up_since = std::max(be.up_since, e.up_since);
       be.standing = e.standing;
+      if (e.shut && !be.shut) be.shut_at = now;
+      be.shut = e.shut;
     }
     double sum = 0;
     for (int i : listed) sum += bes[i].weight;
@@ -806,6 +815,35 @@
       least += (mean - least) * tick_ms / calm_drift_ms;
   }
 
+  // Put back, nothing known of it before counts, and the next visit tries it. It was taken out to be started
+  // anew: unless a list has told when, it is cold from now on.
+  void shut(int i, bool out, double now) {
+    if (i < 0 || i >= static_cast<int>(bes.size()) || bes[i].shut == out) return;
+    auto& be = bes[i];
+    if (out) {
+      be.shut = true;
+      be.shut_at = now;
+      return;
+    }
+    be = Be{.zone = be.zone,
+            .pod = be.pod,
+            .sku = be.sku,
+            .standing = be.standing,
+            .up_since = be.up_since > be.shut_at ? be.up_since : now,
+            .weight = be.weight,
+            .out = be.out,
+            .waiting_since = now,
+            .tokens_at = now,
+            .back_at = now};
+  }
+
+  [[nodiscard]] int avoided(double now) const {
+    return static_cast<int>(std::count_if(listed.begin(), listed.end(), [&](int i) {
+      const auto& be = bes[i];
+      return be.shut || (be.standing == Standing::ready && (benched(be, now) || silent(be, now)));
+    }));
+  }
+
   void schedule_ask(double now) {
     failures = std::min(failures + 1, 10);
     if (failures == 3) lines.push_back("the list of upstreams is out of reach");
@@ -836,7 +874,7 @@
     double f = std::exp(-tick_ms / evidence_ms);
     for (int i : listed) {
       bes[i].rate *= f;
-      if (bes[i].standing == Standing::ready && !cold(bes[i], now)) {
+      if (open(bes[i]) && !cold(bes[i], now)) {
         warm += bes[i].rate;
         ++n;
       }
@@ -921,6 +959,8 @@
 }
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
+void Brain::shut(int be, bool out, double now) { core_->shut(be, out, now); }
+int Brain::avoided(double now) const { return core_->avoided(now); }
 double Brain::drop(double now) const { return core_->drop(now); }
 
 }  // namespace meadow
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -32,6 +32,7 @@
   Standing standing = Standing::ready;
   double weight = 0;
   double up_since = 0;  // 0: long ago
+  bool shut = false;    // out by an operator's hand
 };
 
 enum class ListKind : std::uint8_t { delta, full, cached, failed };
@@ -116,6 +117,10 @@
   void probed(int be, Status status, double took, const Gauge& gauge, double now);
   Chores tick(double now);  // every tick_every() ms
   [[nodiscard]] double tick_every() const;
+  // An operator takes a server out, or puts it back.
+  void shut(int be, bool out, double now);
+  // Listed servers that get nothing just now: out by hand, benched or silent.
+  [[nodiscard]] int avoided(double now) const;
 
   // For on-call staff and tests: the standing drop fraction.
   [[nodiscard]] double drop(double now) const;
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -57,6 +57,12 @@
     if (!at) throw BadConfig("discovery is no address with a port");
     into.discovery = *at;
   }
+  if (const auto* mgmt = config->find("mgmt"); mgmt && !into.mgmt) {
+    const auto* dial = mgmt->text();
+    auto at = dial ? transport::Address::parse(*dial) : std::nullopt;
+    if (!at) throw BadConfig("mgmt is no address with a port");
+    into.mgmt = *at;
+  }
   if (const auto* seed = config->find("seed")) {
     const auto* hex = seed->text();
     auto [end, bad] = hex ? std::from_chars(hex->data(), hex->data() + hex->size(), into.seed, 16)
@@ -78,6 +84,7 @@
   s.name = needed(variable, "GW_NAME");
   s.listen = address(variable, "GW_LISTEN");
   s.discovery = address(variable, "GW_DISCOVERY");
+  if (auto mgmt = variable("GW_MGMT"); mgmt && !mgmt->empty()) s.mgmt = address(variable, "GW_MGMT");
   auto path = needed(variable, "GW_CONFIG");
   std::ifstream file(path, std::ios::binary);
   std::stringstream text;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -9,6 +9,7 @@
 
 #include "program/config.hpp"
 #include "program/log.hpp"
+#include "program/office.hpp"
 #include "program/signals.hpp"
 
 namespace {
@@ -54,6 +55,7 @@
     try {
       balancer->reload(read(given, say));
     } catch (const std::exception& e) {
+      balancer->not_reloaded();
       say(routing::Level::error, std::string("configuration not taken over: ") + e.what());
     }
   };
@@ -61,6 +63,13 @@
       loop, [&] { balancer->wind_up(); }, reread);
   routing::Balancer serving(loop, setup, say);
   balancer = &serving;
+  std::optional<Office> office;
+  if (setup.mgmt) {
+    office.emplace(loop, serving, *setup.mgmt, variable("TMPDIR").value_or(""), setup.name, say);
+    serving.each_tick([&office] { office->tick(); });
+    auto door = office->address().text();
+    say(routing::Level::info, "operators are heard on " + door, {{"address", std::string_view(door)}});
+  }
   auto at = serving.address().text();
   say(routing::Level::info, "serves on " + at, {{"address", std::string_view(at)}});
   serving.run();
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -31,6 +31,8 @@
     r.need("listen");
     r.get("name", setup_.name);
     address(r, "listen", setup_.listen);
+    if (r.has("mgmt")) setup_.mgmt.emplace();
+    if (setup_.mgmt) address(r, "mgmt", *setup_.mgmt);
     r.get("zone", zone_);
     r.get("zones", zones_);
     r.get("balancers_in_zone", balancers_, 1, 100000);
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -103,7 +103,7 @@
                   .most = part(setup.descriptors, upstream_part)},
                  say_, [this] { return clients_.shed(Clients::Need::now); }),
       clients_(loop, pool_, due_, setup.listen, now_, part(setup.descriptors, client_part),
-               part(setup.descriptors, beyond_part)),
+               part(setup.descriptors, beyond_part), tally_),
       discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_),
       prefixes_(names_of(setup.settings, "path_prefixes")),
       tenants_(names_of(setup.settings, "tenants")),
@@ -128,6 +128,7 @@
     columns_.push_back(left.substr(0, left.find(',')));
     left.remove_prefix(std::min(left.size(), columns_.back().size() + 1));
   }
+  tally_.prefixes.resize(prefixes_.size());
   list(ListKind::cached, roster_.take(setup.known, now_));
   discovery_.connect();
 }
@@ -218,10 +219,17 @@
   if (!c.request) return gone(c.client);
   const auto& m = *c.request;
   auto path = protocol::path_of(m.target());
-  if (path.starts_with(names::own_paths)) return own(c);
+  if (path.starts_with(names::own_paths)) {
+    clients_.meant_for(c.client, -1);
+    return own(c);
+  }
   int prefix = place_in(prefixes_, protocol::first_segment(path));
   // Whether it may be repeated is not known then: nothing is sent anywhere.
-  if (prefix < 0) return clients_.refuse(c.client, 404);
+  if (prefix < 0) {
+    clients_.meant_for(c.client, prefix);
+    return clients_.refuse(c.client, 404);
+  }
+  clients_.meant_for(c.client, prefix);
   // A server that resolves the path would run it under a prefix with other rules for repeats.
   if (!protocol::stays_under_first_segment(path)) return clients_.refuse(c.client, 400);
   if (int status = wrong_with(m, static_cast<std::size_t>(prefix))) return clients_.refuse(c.client, status);
@@ -361,6 +369,7 @@
     if (static_cast<std::size_t>(be) >= there.size()) there.resize(static_cast<std::size_t>(be) + 1);
     there[static_cast<std::size_t>(be)] = true;
     bool active = h.health == protocol::Host::Health::active;
+    if (outs_.contains(h.name)) upstreams_.shut(be, true);
     upstreams_.place(be, h.dial, h.born_ms, active);
     entries_.push_back({.be = be,
                         .zone = place_in(zones_, h.zone),
@@ -369,7 +378,8 @@
                         .pod = h.block >= 0 ? h.block : -1 - be,
                         .standing = active ? Standing::ready : Standing::draining,
                         .weight = h.share,
-                        .up_since = h.born_ms});
+                        .up_since = h.born_ms,
+                        .shut = outs_.contains(h.name)});
   }
   if (kind != ListKind::delta)
     for (std::size_t i = 0; i < there.size(); ++i)
@@ -389,6 +399,7 @@
   for (const auto& line : c.lines) say_(Level::info, line);
   upstreams_.close_idle();
   clients_.sweep();
+  if (each_tick_) each_tick_();
   if (now_ < sweep_at_) return;
   sweep_at_ = now_ + sweep_every_ms;
   upstreams_.reap([this](int be) { return visits_.uses(be); });
@@ -433,7 +444,38 @@
 
 void Balancer::released(Job job) { hands_.erase(job); }
 
+Figures Balancer::figures() const {
+  return {.calls = tally_,
+          .prefixes = prefixes_,
+          .fetches = upstreams_.written(),
+          .listed = upstreams_.listed(),
+          .down = static_cast<std::size_t>(brain_.avoided(now_)),
+          .reloads = reloads_,
+          .reloads_failed = reloads_failed_};
+}
+
+bool Balancer::lists(const std::string& name) const {
+  int be = upstreams_.find(name);
+  return be >= 0 && upstreams_.listed(be);
+}
+
+void Balancer::take_out(const std::set<std::string>& names) {
+  auto put = [this](const std::string& name, bool out) {
+    say_(Level::info, name + (out ? ": taken out by hand" : ": put back by hand"));
+    int be = upstreams_.find(name);
+    if (be < 0) return;
+    upstreams_.shut(be, out);
+    brain_.shut(be, out, now_);
+  };
+  for (const auto& name : outs_)
+    if (!names.contains(name)) put(name, false);
+  for (const auto& name : names)
+    if (!outs_.contains(name)) put(name, true);
+  outs_ = names;
+}
+
 void Balancer::reload(const Setup& setup) {
+  ++reloads_;
   say_(Level::info, "configuration read again: " +
                         (setup.discovery ? "discovery at " + setup.discovery->text()
                                          : std::to_string(setup.known.hosts.size()) + " servers listed"));
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -2,8 +2,10 @@
 // then carried out. No decisions here.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -13,6 +15,7 @@
 #include "protocol/discovery.hpp"
 #include "routing/clients.hpp"
 #include "routing/discovery_client.hpp"
+#include "routing/figures.hpp"
 #include "routing/roster.hpp"
 #include "routing/upstreams.hpp"
 #include "routing/visits.hpp"
@@ -24,6 +27,7 @@
   std::string name;
   transport::Address listen;
   std::optional<transport::Address> discovery;  // absent: the list is `known` until a reload
+  std::optional<transport::Address> mgmt;       // the operators' door, where there is one
   std::uint64_t seed = 1;
   std::size_t descriptors = 1024;
   std::size_t memory_mb = 192;
@@ -45,6 +49,17 @@
   // A new configuration: the watch moves to its discovery, or its own list is taken. All else holds from the
   // next start on.
   void reload(const Setup& setup);
+  // A new configuration could not be read.
+  void not_reloaded() { ++reloads_failed_; }
+  // For the program's own periodic work; called with every tick of the module.
+  void each_tick(std::function<void()> work) { each_tick_ = std::move(work); }
+
+  [[nodiscard]] bool ready() const { return phase_ == Phase::serving; }
+  [[nodiscard]] Figures figures() const;
+  // Whether discovery lists a server of that name.
+  [[nodiscard]] bool lists(const std::string& name) const;
+  // The servers that operators have out, all of them; it holds from now on whatever is listed.
+  void take_out(const std::set<std::string>& names);
 
  private:
   struct Hand {  // a visit's client, and its bytes as long as a fetch may need them
@@ -88,6 +103,7 @@
   double now_;
   Say say_;
   transport::Pool pool_;
+  Tally tally_;
   transport::DueTimes due_;
   Brain brain_;
   Visits visits_;
@@ -113,6 +129,9 @@
   std::vector<Entry> entries_;
   double tick_at_, sweep_at_;
   Settings settings_;
+  std::set<std::string> outs_;
+  std::uint64_t reloads_ = 0, reloads_failed_ = 0;
+  std::function<void()> each_tick_;
   Phase phase_ = Phase::serving;
   double phase_until_ = transport::DueTimes::none, over_at_ = transport::DueTimes::none;
 };
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -40,20 +40,24 @@
   State state = State::reading;
   std::unique_ptr<Message> request;
   bool keep = true, head_only = false, gone = false, promised = false;
-  bool proven = false;  // has sent a whole visit
+  bool proven = false;   // has sent a whole visit
+  bool counted = false;  // a request in hand that the figures know
+  int prefix = -1, status = 0;
   std::size_t drained = 0;
   double due = transport::DueTimes::none;
   std::optional<Place> place;  // among the spares
 };
 
 Clients::Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
-                 const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond)
+                 const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond,
+                 Tally& tally)
     : loop_(loop),
       pool_(pool),
       due_(due),
       now_(now),
       most_(most),
       beyond_(beyond),
+      tally_(tally),
       listener_(loop, listen, *this) {}
 
 Clients::~Clients() = default;
@@ -172,9 +176,29 @@
   c.proven = true;
   keep(c);
   due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
+  c.counted = true;
+  c.prefix = -1;
+  ++tally_.in_flight;
   calls_.push_back({.client = c.id, .request = std::move(c.request)});
 }
 
+void Clients::meant_for(ClientId id, int prefix) {
+  auto it = conns_.find(id);
+  if (it == conns_.end()) return;
+  auto& c = *it->second;
+  c.prefix = prefix;
+  if (prefix >= 0 || !c.counted) return;
+  c.counted = false;
+  --tally_.in_flight;
+}
+
+// Its request has ended, with that status or before any answer was out.
+void Clients::settle(Conn& c, int status) {
+  if (!std::exchange(c.counted, false)) return;
+  --tally_.in_flight;
+  tally_.count(c.prefix, status);
+}
+
 void Clients::refuse(Conn& c, int status) {
   c.state = Conn::State::in_hand;
   refuse(c.id, status);
@@ -191,6 +215,7 @@
   auto it = conns_.find(id);
   if (it == conns_.end() || it->second->state != Conn::State::in_hand) return;
   auto& c = *it->second;
+  c.status = 200;
   reply(c, protocol::write_answer(c.stream.out(), answer, last_answer(c)));
 }
 
@@ -198,6 +223,7 @@
   auto it = conns_.find(id);
   if (it == conns_.end() || it->second->state != Conn::State::in_hand) return;
   auto& c = *it->second;
+  c.status = status;
   reply(c, protocol::write_own(c.stream.out(), status, extra, body, last_answer(c), c.head_only));
 }
 
@@ -206,6 +232,7 @@
     // Out of buffers: a short word, which needs but one, is better than none.
     c.stream.out().clear();
     c.keep = false;
+    c.status = 500;
     written = protocol::write_own(c.stream.out(), 500, "", "", true);
   }
   c.state = Conn::State::answering;
@@ -219,6 +246,7 @@
 void Clients::sent(Conn& c) {
   if (!c.stream.flush()) return close(c);
   if (!c.stream.flushed()) return;
+  settle(c, c.status);
   if (last_answer(c)) {
     c.state = Conn::State::lingering;
     c.stream.end_sending();
@@ -297,6 +325,7 @@
 void Clients::close(Conn& c) {
   if (c.state == Conn::State::closed) return;
   if (c.state == Conn::State::in_hand) gone(c);
+  settle(c, 500);
   c.state = Conn::State::closed;
   keep(c);
   due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "protocol/http.hpp"
+#include "routing/figures.hpp"
 #include "transport/due_times.hpp"
 #include "transport/listener.hpp"
 #include "transport/stream.hpp"
@@ -27,7 +28,8 @@
   static constexpr std::uint8_t due_kind = 4;
 
   Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
-          const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond);
+          const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond,
+          Tally& tally);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -38,6 +40,8 @@
   void answer(ClientId id, int status, std::string_view extra, std::string_view body);
   // The same for what can't be served whatever happens: its connection ends.
   void refuse(ClientId id, int status);
+  // The request in hand of that client is for this path prefix; below 0: for none that is counted.
+  void meant_for(ClientId id, int prefix);
   // A connection has had its time.
   void fell_due(ClientId id);
 
@@ -77,6 +81,7 @@
   void gone(Conn& c);
   void reply(Conn& c, bool written);
   void close(Conn& c);
+  void settle(Conn& c, int status);
   [[nodiscard]] static bool idle(const Conn& c);
   [[nodiscard]] bool last_answer(const Conn& c) const;
 
@@ -85,6 +90,7 @@
   transport::DueTimes& due_;
   const double& now_;
   std::size_t most_, beyond_;
+  Tally& tally_;
   transport::Listener listener_;
   bool starved_ = false;  // connections may wait that there was no descriptor for
   bool winding_up_ = false;
--- /dev/null
+++ b/src/routing/figures.hpp
@@ -0,0 +1,37 @@
+// What a balancer has done and has in hand, counted where it happens.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace meadow::routing {
+
+struct Calls {
+  std::uint64_t success = 0, busy = 0, failure = 0;
+
+  void count(int status) { ++(status == 200 ? success : status == 429 || status == 503 ? busy : failure); }
+};
+
+// Of final answers, each counted when its last byte is written, or its client has gone.
+struct Tally {
+  Calls all;
+  std::vector<Calls> prefixes;
+  std::size_t in_flight = 0;
+
+  void count(int prefix, int status) {
+    all.count(status);
+    if (prefix >= 0 && static_cast<std::size_t>(prefix) < prefixes.size())
+      prefixes[static_cast<std::size_t>(prefix)].count(status);
+  }
+};
+
+struct Figures {
+  Tally calls;
+  std::vector<std::string> prefixes;  // their names
+  std::uint64_t fetches = 0;          // written whole
+  std::size_t listed = 0, down = 0;
+  std::uint64_t reloads = 0, reloads_failed = 0;
+};
+
+}  // namespace meadow::routing
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -109,7 +109,8 @@
   bool moved = address != s.dial || born_ms != s.born;
   s.dial = address;
   s.born = born_ms;
-  s.wanted = wanted;
+  s.active = wanted;
+  s.wanted = wanted && !s.shut;
   s.listed = true;
   if (!dial.empty()) {
     vacate(be);
@@ -121,7 +122,22 @@
     ++s.turn;
     close_idle(s);
   }
-  if (!wanted) forsake(be);
+  if (!s.wanted) forsake(be);
+}
+
+// What it was started anew for while it was out makes its connections those of another process.
+void Upstreams::shut(int be, bool out) {
+  auto& s = server(be);
+  s.shut = out;
+  s.wanted = s.listed && s.active && !out;
+  if (out) return forsake(be);
+  ++s.turn;
+  close_idle(s);
+}
+
+std::size_t Upstreams::listed() const {
+  return static_cast<std::size_t>(
+      std::count_if(servers_.begin(), servers_.end(), [](const Server& s) { return s.listed; }));
 }
 
 void Upstreams::depart(int be) {
@@ -251,7 +267,18 @@
     close(c);
     return end(fetches_.find(id), Status::unreachable);
   }
-  if (!c.stream.flush()) broke(c);
+  if (!flush(c)) broke(c);
+}
+
+// Counts a visit's fetch when its last byte has gone out.
+bool Upstreams::flush(Conn& c) {
+  bool ok = c.stream.flush();
+  auto& f = fetches_.at(c.fetch);
+  if (ok && f.visit && !f.written && c.stream.flushed()) {
+    f.written = true;
+    ++written_;
+  }
+  return ok;
 }
 
 void Upstreams::ready(Conn& c, std::uint32_t events) {
@@ -267,7 +294,7 @@
     return dial_for_waiting(be);
   }
   if (c.state != Conn::State::busy) return;
-  bool ok = c.stream.flush();
+  bool ok = flush(c);
   read(c);  // what it said before it broke still counts
   if (!ok && c.state == Conn::State::busy) broke(c);
 }
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -57,6 +57,8 @@
   [[nodiscard]] const std::string& name(int be) const { return servers_[static_cast<std::size_t>(be)].name; }
   // Where it is dialled and since when it runs. `wanted`: something new may go there.
   void place(int be, const std::string& dial, double born_ms, bool wanted);
+  // Nothing new goes there by an operator's hand, whatever is listed; or may again.
+  void shut(int be, bool out);
   // Listed no more.
   void depart(int be);
   // Gives back the indices of those that departed and have nothing left here nor, by `used`, elsewhere.
@@ -74,6 +76,9 @@
   void bury();
 
   [[nodiscard]] std::vector<Ending>& endings() { return endings_; }
+  [[nodiscard]] std::uint64_t written() const { return written_; }
+  [[nodiscard]] std::size_t listed() const;
+  [[nodiscard]] bool listed(int be) const { return servers_[static_cast<std::size_t>(be)].listed; }
   [[nodiscard]] std::size_t connections() const { return conns_.size(); }
 
  private:
@@ -84,6 +89,7 @@
     double born = 0;
     int turn = 0;  // of processes and addresses it has had
     bool wanted = true, listed = false;
+    bool active = true, shut = false;  // as listed, and by hand
     int dialling = 0, conns = 0;
     std::string at;           // its address as listed
     double heard = 0;         // the last sign of life
@@ -97,6 +103,7 @@
     double sent = 0, limit_at = 0, connect_by = 0;
     double due = transport::DueTimes::none;
     Conn* conn = nullptr;  // none while it waits for one
+    bool written = false;  // its last byte is out
   };
   using Fetches = std::unordered_map<FetchId, Fetch>;
 
@@ -117,6 +124,7 @@
   void read(Conn& c);
   void answered(Conn& c);
   void broke(Conn& c);
+  bool flush(Conn& c);
   void free(Conn& c);
   void close(Conn& c);
   void end(Fetches::iterator it, Status status, std::unique_ptr<protocol::Message> answer = {});
@@ -142,6 +150,7 @@
   std::uint64_t next_conn_ = 1;
   Fetches fetches_;
   std::vector<Ending> endings_;
+  std::uint64_t written_ = 0;  // visits' fetches, whole
 };
 
 }  // namespace meadow::routing
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -7,13 +7,13 @@
 
 namespace meadow::transport {
 
-Listener::Listener(Loop& loop, const Address& at, Ready& owner)
+Listener::Listener(Loop& loop, const Address& at, Ready& owner, bool first)
     : loop_(&loop), fd_(socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   int on = 1;
   if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
       bind(fd_.get(), at.raw(), at.size()) != 0 || listen(fd_.get(), SOMAXCONN) != 0)
     throw std::system_error(errno, std::generic_category(), "cannot listen on " + at.text());
-  token_ = loop.add(fd_.get(), owner, EPOLLIN);
+  token_ = loop.add(fd_.get(), owner, EPOLLIN, first);
 }
 
 Fd Listener::accept(bool& full) {
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -9,7 +9,8 @@
 class Listener {
  public:
   // Throws std::system_error naming the address where it can't listen.
-  Listener(Loop& loop, const Address& at, Ready& owner);
+  // `first`: its owner is told before others of a batch.
+  Listener(Loop& loop, const Address& at, Ready& owner, bool first = false);
   ~Listener() { close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -10,7 +10,7 @@
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
-std::uint64_t Loop::add(int fd, Ready& who, std::uint32_t events) {
+std::uint64_t Loop::add(int fd, Ready& who, std::uint32_t events, bool first) {
   if (free_.empty()) {
     free_.push_back(static_cast<std::uint32_t>(slots_.size()));
     slots_.emplace_back();
@@ -23,6 +23,8 @@
     throw std::system_error(errno, std::generic_category(), "epoll_ctl");
   free_.pop_back();
   slots_[slot].who = &who;
+  slots_[slot].first = first;
+  firsts_ += first;
   return e.data.u64;
 }
 
@@ -31,6 +33,7 @@
   if (slots_[slot].generation != token >> 32 || !slots_[slot].who) return;
   epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
   slots_[slot].who = nullptr;
+  firsts_ -= slots_[slot].first;
   ++slots_[slot].generation;  // events still in this batch are stale from here on
   free_.push_back(slot);
 }
@@ -52,11 +55,15 @@
   turn_.swap(more_);
   for (int i = 0; i < count_; ++i) turn_.push_back(events_[static_cast<std::size_t>(i)]);
   count_ = 0;
-  for (const auto& e : turn_) {
-    const auto& slot = slots_[static_cast<std::uint32_t>(e.data.u64)];
-    if (slot.who && slot.generation == e.data.u64 >> 32) slot.who->ready(e.events);
-  }
+  if (firsts_ > 0)
+    for (const auto& e : turn_) tell(e, true);
+  for (const auto& e : turn_) tell(e, false);
   turn_.clear();
 }
 
+void Loop::tell(const epoll_event& e, bool first) {
+  const auto& slot = slots_[static_cast<std::uint32_t>(e.data.u64)];
+  if (slot.who && slot.generation == e.data.u64 >> 32 && slot.first == first) slot.who->ready(e.events);
+}
+
 }  // namespace meadow::transport
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -24,7 +24,8 @@
   Loop();
 
   // A token that stays this descriptor's own: events for an earlier holder of its number reach nobody.
-  std::uint64_t add(int fd, Ready& who, std::uint32_t events);
+  // `first`: told before all others of a batch.
+  std::uint64_t add(int fd, Ready& who, std::uint32_t events, bool first = false);
   void remove(std::uint64_t token, int fd);
   // There is more than one turn's worth: told again with the next batch.
   void again(std::uint64_t token, std::uint32_t events);
@@ -34,9 +35,11 @@
   void dispatch();
 
  private:
+  void tell(const epoll_event& e, bool first);
   struct Slot {
     Ready* who = nullptr;
     std::uint32_t generation = 0;
+    bool first = false;
   };
   static constexpr int at_once = 256;
   Fd epoll_;
@@ -44,6 +47,7 @@
   std::vector<std::uint32_t> free_;
   std::array<epoll_event, at_once> events_{};
   int count_ = 0;
+  int firsts_ = 0;  // slots that are told first
   std::vector<epoll_event> more_, turn_;
 };
 
