--- a/src/handover/outs.cpp
+++ b/src/handover/outs.cpp
@@ -1,5 +1,7 @@
 #include "handover/outs.hpp"
 
+#include <utility>
+
 namespace meadow::handover {
 
 namespace {
@@ -24,7 +26,7 @@
   return true;
 }
 
-Outs::Outs(const Place& place, routing::Say say) : place_(place), say_(std::move(say)) { take_over(); }
+Outs::Outs(Place place, routing::Say say) : place_(std::move(place)), say_(std::move(say)) { take_over(); }
 
 void Outs::take_over() {
   auto text = place_.read(kind);
--- a/src/handover/outs.hpp
+++ b/src/handover/outs.hpp
@@ -13,7 +13,7 @@
  public:
   static constexpr std::size_t most = 4096;
 
-  Outs(const Place& place, routing::Say say);
+  Outs(Place place, routing::Say say);
   [[nodiscard]] const std::set<std::string>& names() const { return names_; }
   // False: there are too many out.
   bool change(const std::string& id, bool out);
@@ -22,7 +22,7 @@
 
  private:
   void take_over();
-  const Place& place_;
+  Place place_;
   routing::Say say_;
   std::set<std::string> names_;
   std::string seen_;  // the file as last read or written
--- a/src/management/door.cpp
+++ b/src/management/door.cpp
@@ -12,6 +12,7 @@
 constexpr double silent_ms = 2000;
 // An answer that is not taken.
 constexpr double take_ms = 2000;
+constexpr std::size_t most_dropped = 64 * 1024;
 }  // namespace
 
 struct Door::Caller final : transport::Ready {
@@ -26,6 +27,7 @@
   transport::Fd fd;
   std::uint64_t token;
   std::string in, out;
+  std::size_t dropped = 0;
   bool answered = false, ended = false;
   double due = 0;        // closed on then
   double answer_at = 0;  // an answer that waits is given then; 0: none waits
@@ -62,8 +64,8 @@
     c.ended = n == 0;
     if (c.answered) {
       // What comes behind a call is read and dropped, up to its answer's end: left unread it would reset it.
-      if (c.in.size() > 16 * longest_call) return close(c);
-      c.in.append(bytes, static_cast<std::size_t>(n));
+      c.dropped += static_cast<std::size_t>(n);
+      if (c.dropped > most_dropped) return close(c);
       continue;
     }
     c.in.append(bytes, static_cast<std::size_t>(n));
