Upgrades: a second process takes over while the first answers what it has

Now seats, a shared address, a classic filter that names the newest listener, limits in parts, outs and lessons in files.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -837,6 +837,45 @@
             .back_at = now};
   }
 
+  // What a successor would learn anew at its visits' cost: the tier's calm and usual times and numbers, and
+  // who is on the bench. Outcomes of the window, budgets and what is out are its own.
+  template <class Self, class F>
+  static void each_lesson(Self& s, F f) {
+    f("mean_took", s.mean_took), f("calm", s.calm), f("late_took", s.late_took), f("late_held", s.late_held);
+    f("slow_end", s.slow_end), f("mean_out", s.mean_out), f("timely", s.timely), f("spill", s.spill);
+    f("tier_util", s.tier_util), f("near_util", s.near_util), f("far_util", s.far_util);
+    f("near_took", s.near_took), f("far_took", s.far_took), f("usual_load", s.usual_load);
+    for (std::size_t i = 0; i < s.prefixes.size(); ++i)
+      f("pace." + std::to_string(i), s.prefixes[i].log_took);
+  }
+
+  [[nodiscard]] Lessons learned(double now) const {
+    Lessons all;
+    if (answers < calm_after) return all;
+    each_lesson(*this, [&](const std::string& name, double value) { all[name] = value; });
+    for (int i : listed)
+      if (benched(bes[i], now)) all["bench@" + std::to_string(i)] = bes[i].bench_until;
+    return all;
+  }
+
+  void taught(const Lessons& lessons, double now) {
+    if (lessons.empty() || answers > 0) return;
+    each_lesson(*this, [&](const std::string& name, double& value) {
+      auto it = lessons.find(name);
+      if (it != lessons.end() && std::isfinite(it->second)) value = it->second;
+    });
+    answers = calm_after;
+    arrivals = calm_after;
+    for (int i : listed) {
+      bes[i].fresh = false;
+      if (auto it = lessons.find("bench@" + std::to_string(i)); it != lessons.end() && it->second > now) {
+        bes[i].bench_until = std::min(it->second, now + bench_most_ms);
+        bes[i].trial = true;
+        bes[i].relapses = 1;
+      }
+    }
+  }
+
   [[nodiscard]] int avoided(double now) const {
     return static_cast<int>(std::count_if(listed.begin(), listed.end(), [&](int i) {
       const auto& be = bes[i];
@@ -961,6 +1000,8 @@
 double Brain::tick_every() const { return tick_ms; }
 void Brain::shut(int be, bool out, double now) { core_->shut(be, out, now); }
 int Brain::avoided(double now) const { return core_->avoided(now); }
+Lessons Brain::learned(double now) const { return core_->learned(now); }
+void Brain::taught(const Lessons& lessons, double now) { core_->taught(lessons, now); }
 double Brain::drop(double now) const { return core_->drop(now); }
 
 }  // namespace meadow
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -18,6 +18,9 @@
 // Names to values, as handed over at the start. The module picks what it needs.
 using Settings = std::map<std::string, std::string, std::less<>>;
 
+// What an instance has learned, by names of its own; `NAME@be` tells of a server. Of use to its successor.
+using Lessons = std::map<std::string, double>;
+
 // How a backend fetch ended.
 enum class Status : std::uint8_t { delivered, error, full, timeout, unreachable, reset, cancelled, moot };
 
@@ -119,6 +122,8 @@
   [[nodiscard]] double tick_every() const;
   // An operator takes a server out, or puts it back.
   void shut(int be, bool out, double now);
+  [[nodiscard]] Lessons learned(double now) const;
+  void taught(const Lessons& lessons, double now);
   // Listed servers that get nothing just now: out by hand, benched or silent.
   [[nodiscard]] int avoided(double now) const;
 
--- /dev/null
+++ b/src/handover/lessons.hpp
@@ -0,0 +1,16 @@
+// What one process of a balancer has learned, as its successor reads it.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "brain/brain.hpp"
+
+namespace meadow::handover {
+
+// `at`: when it was learned, Unix time in milliseconds.
+std::string lessons_text(const Lessons& lessons, double at);
+// Empty where it is torn, foreign, or was learned more than `most_ms` before `now`.
+Lessons read_lessons(std::string_view text, double now, double most_ms);
+
+}  // namespace meadow::handover
--- /dev/null
+++ b/src/handover/seats.hpp
@@ -0,0 +1,37 @@
+// Which processes of one balancer there are, in the order of their start. Each holds a lock on its seat,
+// which the system lets go of however the process ends.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "handover/place.hpp"
+
+namespace meadow::handover {
+
+class Seats {
+ public:
+  // Takes a seat behind all others; none where there is no folder.
+  explicit Seats(Place place);
+  ~Seats();
+  Seats(const Seats&) = delete;
+  Seats& operator=(const Seats&) = delete;
+
+  struct Others {
+    int older = 0, newer = 0;
+    bool newer_serves = false;
+    [[nodiscard]] int all() const { return older + newer; }
+  };
+  // Looks anew; seats whose process has gone are cleared away.
+  Others look();
+  // This process serves: others may see it.
+  void serves();
+
+ private:
+  [[nodiscard]] std::vector<long> numbers() const;
+  Place place_;
+  long mine_ = 0;
+  Lock held_;
+};
+
+}  // namespace meadow::handover
--- a/src/management/door.cpp
+++ b/src/management/door.cpp
@@ -34,7 +34,7 @@
 };
 
 Door::Door(transport::Loop& loop, const transport::Address& at, Desk& desk)
-    : loop_(loop), desk_(desk), listener_(loop, at, *this, true) {}
+    : loop_(loop), desk_(desk), listener_(loop, at, *this, {.first = true}) {}
 
 Door::~Door() = default;
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -59,13 +59,19 @@
       say(routing::Level::error, std::string("configuration not taken over: ") + e.what());
     }
   };
+  std::optional<Shift> shift;
+  if (setup.mgmt) {
+    shift.emplace(variable("TMPDIR").value_or(""), setup.name);
+    setup.shared = shift->place.there();
+    setup.later = shift->relieves();
+  }
+  std::optional<Office> office;
   Signals signals(
-      loop, [&] { balancer->wind_up(); }, reread);
+      loop, [&] { office ? office->ended() : balancer->wind_up(); }, reread);
   routing::Balancer serving(loop, setup, say);
   balancer = &serving;
-  std::optional<Office> office;
   if (setup.mgmt) {
-    office.emplace(loop, serving, *setup.mgmt, variable("TMPDIR").value_or(""), setup.name, say);
+    office.emplace(loop, serving, *shift, *setup.mgmt, say);
     serving.each_tick([&office] { office->tick(); });
     auto door = office->address().text();
     say(routing::Level::info, "operators are heard on " + door, {{"address", std::string_view(door)}});
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t reserved = 24;  // descriptors for all but clients and upstreams
 // Of the rest: for clients that are served, for those that come beyond them, for upstreams.
 constexpr double client_part = 0.48, beyond_part = 0.1, upstream_part = 0.42;
+constexpr std::size_t door_part = 20;  // more where there is a door for operators: its callers, and files
 constexpr double sweep_every_ms = 200;
 constexpr double probe_limit_ms = 1000;
 // After a planned end began, and the longest client timeout: all is over before the process is killed.
@@ -93,17 +94,19 @@
     : loop_(loop),
       now_(clock_.now()),
       say_(std::move(say)),
-      pool_(setup.memory_mb * 1024 * 1024 / 2 / transport::buffer_size),
+      descriptors_(setup.descriptors - std::min(setup.descriptors, setup.mgmt ? door_part : 0)),
+      buffers_(setup.memory_mb * 1024 * 1024 / 2 / transport::buffer_size),
+      pool_(buffers_),
       brain_(setup.settings, setup.seed, now_),
       visits_(brain_, due_, *this),
       upstreams_(loop, pool_, due_, now_,
                  {.dial_ms = number(setup.settings, "limits.dial_timeout_ms", 1000, say_),
                   .idle_ms = number(setup.settings, "limits.conn_idle_ms", 30000, say_),
                   .settle_ms = number(setup.settings, "limits.settle_ms", 20, say_),
-                  .most = part(setup.descriptors, upstream_part)},
+                  .most = part(descriptors_, upstream_part)},
                  say_, [this] { return clients_.shed(Clients::Need::now); }),
-      clients_(loop, pool_, due_, setup.listen, now_, part(setup.descriptors, client_part),
-               part(setup.descriptors, beyond_part), tally_),
+      clients_(loop, pool_, due_, setup.listen, now_, part(descriptors_, client_part),
+               part(descriptors_, beyond_part), tally_, {.shared = setup.shared, .later = setup.later}),
       discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_),
       prefixes_(names_of(setup.settings, "path_prefixes")),
       tenants_(names_of(setup.settings, "tenants")),
@@ -113,6 +116,7 @@
       most_held_(number(setup.settings, "limits.most_held", 20000, say_)),
       reports_(word(setup.settings, "report.how") != "off"),
       leave_ms_(setup.leave_ms),
+      heard_(!setup.discovery),
       tick_at_(now_),
       sweep_at_(now_),
       settings_(setup.settings) {
@@ -337,6 +341,7 @@
 
 // Lists may come out of order: what is older than what was heard changes nothing.
 void Balancer::told(protocol::Listing news) {
+  heard_ = true;
   auto seq = news.seq, newest = roster_.newest();
   auto l = roster_.take(std::move(news), now_);
   if (seq < newest && l.whole)
@@ -444,6 +449,27 @@
 
 void Balancer::released(Job job) { hands_.erase(job); }
 
+// Servers go by their names there.
+Lessons Balancer::learned() const {
+  Lessons all;
+  for (auto& [name, value] : brain_.learned(now_))
+    if (auto dot = name.find('@'); dot != name.npos)
+      all[name.substr(0, dot + 1) + upstreams_.name(std::stoi(name.substr(dot + 1)))] = value;
+    else
+      all[name] = value;
+  return all;
+}
+
+void Balancer::taught(const Lessons& lessons) {
+  Lessons mine;
+  for (const auto& [name, value] : lessons) {
+    auto dot = name.find('@');
+    int be = dot == name.npos ? 0 : upstreams_.find(name.substr(dot + 1));
+    if (be >= 0) mine[dot == name.npos ? name : name.substr(0, dot + 1) + std::to_string(be)] = value;
+  }
+  brain_.taught(mine, now_);
+}
+
 Figures Balancer::figures() const {
   return {.calls = tally_,
           .prefixes = prefixes_,
@@ -491,7 +517,7 @@
 
 void Balancer::wind_up() {
   if (phase_ != Phase::serving) return;
-  say_(Level::info, "ending: serves on for a while");
+  say_(Level::info, given_over_ ? "ending: another process has taken over" : "ending: serves on for a while");
   phase_ = Phase::leaving;
   // Clients go on using what they have open, and the front may have nobody else for them: to close early
   // would turn away visits that there is time to serve.
@@ -499,7 +525,29 @@
   over_at_ = now_ + std::min(longest_timeout_, over_most_ms) + over_after_ms;
 }
 
+void Balancer::listen(std::uint32_t others) {
+  if (clients_.listening()) return;
+  clients_.listen();
+  if (others > 0 && !clients_.steer(others))
+    say_(Level::info, "new connections are dealt out between this process and the one before it");
+}
+
+void Balancer::keep_to(double share) {
+  auto of = [share](std::size_t all) { return static_cast<std::size_t>(share * static_cast<double>(all)); };
+  pool_.allow(of(buffers_));
+  upstreams_.allow(part(of(descriptors_), upstream_part));
+  clients_.allow(part(of(descriptors_), client_part), part(of(descriptors_), beyond_part));
+}
+
+void Balancer::give_over() {
+  if (std::exchange(given_over_, true)) return;
+  clients_.stop_accepting();
+  clients_.last_answers();
+}
+
 void Balancer::step_down() {
+  // All that came here has been answered, and the rest comes to another process.
+  if (given_over_ && clients_.size() == 0) phase_ = Phase::over;
   if (phase_ == Phase::leaving && now_ >= phase_until_) {
     phase_ = Phase::winding_up;
     phase_until_ = over_at_;
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -28,6 +28,8 @@
   transport::Address listen;
   std::optional<transport::Address> discovery;  // absent: the list is `known` until a reload
   std::optional<transport::Address> mgmt;       // the operators' door, where there is one
+  bool shared = false;                          // another process of this balancer may listen beside it
+  bool later = false;                           // listens from listen() on
   std::uint64_t seed = 1;
   std::size_t descriptors = 1024;
   std::size_t memory_mb = 192;
@@ -54,7 +56,19 @@
   // For the program's own periodic work; called with every tick of the module.
   void each_tick(std::function<void()> work) { each_tick_ = std::move(work); }
 
-  [[nodiscard]] bool ready() const { return phase_ == Phase::serving; }
+  [[nodiscard]] bool ready() const { return phase_ == Phase::serving && clients_.listening(); }
+  // Discovery has been heard since the start, or there is none.
+  [[nodiscard]] bool heard() const { return heard_; }
+  // Listens from now on; new connections come here rather than to `others` that listen beside it.
+  void listen(std::uint32_t others);
+  // This part of the limits is its own from now on.
+  void keep_to(double part);
+  // A successor takes the new connections; what is open here ends with its next answer.
+  void give_over();
+  // What it has learned, and what another process of this balancer had learned.
+  [[nodiscard]] Lessons learned() const;
+  void taught(const Lessons& lessons);
+
   [[nodiscard]] Figures figures() const;
   // Whether discovery lists a server of that name.
   [[nodiscard]] bool lists(const std::string& name) const;
@@ -102,6 +116,7 @@
   transport::Clock clock_;
   double now_;
   Say say_;
+  std::size_t descriptors_, buffers_;  // all that it may have, alone
   transport::Pool pool_;
   Tally tally_;
   transport::DueTimes due_;
@@ -120,6 +135,7 @@
   double most_held_, longest_timeout_ = 0;
   bool reports_;
   std::optional<double> leave_ms_;
+  bool heard_, given_over_ = false;
 
   std::unordered_map<Job, Hand> hands_;
   std::unordered_map<ClientId, Job> jobs_;
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -50,7 +50,7 @@
 
 Clients::Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
                  const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond,
-                 Tally& tally)
+                 Tally& tally, transport::Listener::How how)
     : loop_(loop),
       pool_(pool),
       due_(due),
@@ -58,7 +58,7 @@
       most_(most),
       beyond_(beyond),
       tally_(tally),
-      listener_(loop, listen, *this) {}
+      listener_(loop, listen, *this, how) {}
 
 Clients::~Clients() = default;
 
@@ -303,6 +303,13 @@
   return false;
 }
 
+void Clients::allow(std::size_t most, std::size_t beyond) {
+  most_ = most;
+  beyond_ = beyond;
+  while (conns_.size() > most + beyond && shed(Need::some)) {
+  }
+}
+
 void Clients::stop_accepting() {
   accept_all();  // what has come before the end is taken
   listener_.close();
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -29,7 +29,7 @@
 
   Clients(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due,
           const transport::Address& listen, const double& now, std::size_t most, std::size_t beyond,
-          Tally& tally);
+          Tally& tally, transport::Listener::How how);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -54,6 +54,13 @@
   enum class Need : std::uint8_t { some, room, now };
   bool shed(Need need);
   void stop_accepting();
+  void listen() { listener_.listen(); }
+  [[nodiscard]] bool listening() const { return listener_.listening(); }
+  bool steer(std::uint32_t nth) { return listener_.steer(nth); }
+  // From now on each answer is a connection's last; idle ones stay open for what may be on its way.
+  void last_answers() { winding_up_ = true; }
+  // So many from now on; idle ones make way.
+  void allow(std::size_t most, std::size_t beyond);
   // From now on each answer is a connection's last, and idle ones are closed.
   void wind_up();
   [[nodiscard]] std::size_t size() const { return conns_.size(); }
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -474,6 +474,12 @@
   if (s.heard <= since) close_idle(s);
 }
 
+void Upstreams::allow(std::size_t most) {
+  limits_.most = most;
+  while (conns_.size() > most && shed()) {
+  }
+}
+
 bool Upstreams::shed() {
   Conn* oldest = nullptr;
   for (auto& s : servers_)
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -71,6 +71,8 @@
   void abandon(FetchId id);
   void fell_due(transport::DueKey key);
   void close_idle();
+  // So many connections from now on; the longest idle ones make way.
+  void allow(std::size_t most);
   // Closes the longest idle connection; false: there is none.
   bool shed();
   void bury();
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -1,5 +1,6 @@
 #include "transport/listener.hpp"
 
+#include <linux/filter.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -7,13 +8,30 @@
 
 namespace meadow::transport {
 
-Listener::Listener(Loop& loop, const Address& at, Ready& owner, bool first)
-    : loop_(&loop), fd_(socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
+Listener::Listener(Loop& loop, const Address& at, Ready& owner, How how)
+    : loop_(&loop),
+      owner_(&owner),
+      how_(how),
+      fd_(socket(at.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   int on = 1;
   if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-      bind(fd_.get(), at.raw(), at.size()) != 0 || listen(fd_.get(), SOMAXCONN) != 0)
+      (how.shared && setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof on) != 0) ||
+      bind(fd_.get(), at.raw(), at.size()) != 0)
     throw std::system_error(errno, std::generic_category(), "cannot listen on " + at.text());
-  token_ = loop.add(fd_.get(), owner, EPOLLIN, first);
+  if (!how.later) listen();
+}
+
+void Listener::listen() {
+  if (!fd_ || token_ != 0) return;
+  if (::listen(fd_.get(), SOMAXCONN) != 0)
+    throw std::system_error(errno, std::generic_category(), "cannot listen on " + address().text());
+  token_ = loop_->add(fd_.get(), *owner_, EPOLLIN, how_.first);
+}
+
+bool Listener::steer(std::uint32_t nth) {
+  sock_filter say{.code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = nth};
+  sock_fprog program{.len = 1, .filter = &say};
+  return setsockopt(fd_.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &program, sizeof program) == 0;
 }
 
 Fd Listener::accept(bool& full) {
@@ -30,7 +48,7 @@
 
 void Listener::close() {
   if (!fd_) return;
-  loop_->remove(token_, fd_.get());
+  if (token_ != 0) loop_->remove(token_, fd_.get());
   fd_.close();
 }
 
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -38,7 +38,7 @@
   void tell(const epoll_event& e, bool first);
   struct Slot {
     Ready* who = nullptr;
-    std::uint32_t generation = 0;
+    std::uint32_t generation = 1;  // so that no token is 0
     bool first = false;
   };
   static constexpr int at_once = 256;
--- a/src/transport/pool.cpp
+++ b/src/transport/pool.cpp
@@ -25,7 +25,7 @@
 }
 
 Buffer Pool::take() {
-  if (out_ == most_) return {};
+  if (out_ >= most_) return {};
   ++out_;
   if (spare_.empty()) return {this, std::make_unique_for_overwrite<char[]>(buffer_size)};
   Buffer b{this, std::move(spare_.back())};
--- a/src/transport/pool.hpp
+++ b/src/transport/pool.hpp
@@ -42,6 +42,8 @@
   Buffer take();
   // Gives back to the system half of what lies idle beyond a few. Called now and then.
   void trim();
+  // So many at most from now on; what is out beyond that comes back by itself.
+  void allow(std::size_t most) { most_ = most; }
   [[nodiscard]] std::size_t out() const { return out_; }
   [[nodiscard]] std::size_t spare() const { return spare_.size(); }
 
