--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -1,5 +1,7 @@
 // What staff use day by day: the door, the figures, servers out by hand, upgrades.
+#include "handover/lessons.hpp"
 #include "handover/outs.hpp"
+#include "handover/seats.hpp"
 #include "management/calls.hpp"
 #include "service.hpp"
 #include "world.hpp"
@@ -198,5 +200,145 @@
   EXPECT_EQ(status_of(client.hear()), 200);
 }
 
+TEST(Seats, TellWhoCameBeforeAndAfterAndWhoHasGone) {
+  Folder f;
+  handover::Place place(f.path, "n0");
+  auto first = std::make_unique<handover::Seats>(place);
+  EXPECT_EQ(first->look().all(), 0);
+  auto second = std::make_unique<handover::Seats>(place);
+  EXPECT_EQ(first->look().newer, 1);
+  EXPECT_FALSE(first->look().newer_serves);
+  second->serves();
+  EXPECT_TRUE(first->look().newer_serves);
+  EXPECT_EQ(second->look().older, 1);
+  handover::Seats third(place);
+  EXPECT_EQ(third.look().older, 2);
+  EXPECT_EQ(handover::Seats(handover::Place(f.path, "n1")).look().all(), 0) << "another balancer's";
+  first.reset();
+  EXPECT_EQ(second->look().all(), 1);
+  second.reset();
+  EXPECT_EQ(third.look().all(), 0);
+  std::ofstream(place.file("seat.99")) << 'y';  // of a process that was killed
+  EXPECT_EQ(third.look().all(), 0);
+  EXPECT_EQ(handover::Seats(handover::Place()).look().all(), 0);
+}
+
+TEST(Lessons, AreTakenWholeAndYoungOnly) {
+  Lessons l{{"calm", 12.5}, {"bench@s1", 1e12}};
+  auto text = handover::lessons_text(l, 1000);
+  EXPECT_EQ(handover::read_lessons(text, 3000, 5000), l);
+  EXPECT_TRUE(handover::read_lessons(text, 7000, 5000).empty());
+  EXPECT_TRUE(handover::read_lessons(text, -9000, 5000).empty());
+  for (std::size_t n = 0; n < text.size(); ++n)
+    EXPECT_TRUE(handover::read_lessons(text.substr(0, n), 3000, 5000).empty()) << n;
+}
+
+TEST(Lessons, ASuccessorKnowsTheCalmTimeAndTheBench) {
+  World w({}, 4, 3);
+  for (int i = 0; i < 200; ++i) {
+    int id = w.knock(1, 5000);
+    w.pass(40);
+    w.end(id, 0, Status::delivered);
+  }
+  auto lessons = w.brain.learned(w.now);
+  ASSERT_GT(lessons["calm"], 0);
+  lessons["bench@2"] = w.now + 5000;
+  World next({}, 4, 4);
+  next.now = w.now;
+  next.brain.taught(lessons, next.now);
+  EXPECT_EQ(next.brain.learned(next.now)["calm"], lessons["calm"]);
+  EXPECT_EQ(next.brain.avoided(next.now), 1);
+  for (int i = 0; i < 12; ++i) next.knock(1, 5000);
+  EXPECT_EQ(next.sends[2], 0);
+}
+
+// One server for both processes, and a discovery that says nothing.
+struct Pair {
+  Folder folder;
+  Door upstream;
+  std::string known = listing(1, true, {host(0, upstream.address())});
+  Service old{{.leave_ms = "", .door = true, .folder = folder.path}, known};
+  std::unique_ptr<Service> next;
+  void upgrade() {
+    next = std::make_unique<Service>(
+        Options{.leave_ms = "", .listen = old.address(), .door = true, .folder = folder.path}, known);
+  }
+  void served() { next->logged("serves beside"); }
+};
+
+TEST(Upgrade, EndsNoVisitAndTheOldProcessAlone) {
+  Pair p;
+  auto kept = p.old.connect();
+  kept.say(visit("/pay"));
+  auto up = p.upstream.open();
+  up.hear();
+  p.upgrade();
+  EXPECT_TRUE(p.next->call("HEALTH\n").starts_with("fail")) << "it does not serve yet";
+  p.served();
+  EXPECT_EQ(p.next->call("HEALTH\n"), "ok ready\n");
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(p.old.ask("/-/ready"), 200);
+  auto fresh = p.old.connect();
+  fresh.say(visit("/pay"));
+  auto other = p.upstream.open();
+  other.hear();
+  EXPECT_EQ(p.next->figure("inflight"), 1) << "new connections go to the new process";
+  p.old.terminate();
+  p.old.logged("another process has taken over");
+  up.say(ok);
+  auto last = kept.hear();
+  EXPECT_EQ(status_of(last), 200);
+  EXPECT_NE(last.find("Connection: close"), last.npos);
+  kept.close();
+  EXPECT_EQ(p.old.exit_status(), 0);
+  other.say(ok);
+  EXPECT_EQ(status_of(fresh.hear()), 200);
+}
+
+TEST(Upgrade, OneThatFailsChangesNothing) {
+  Pair p;
+  p.upgrade();
+  kill(p.next->pid(), SIGKILL);
+  p.next.reset();
+  p.upgrade();
+  p.served();
+  p.next.reset();  // killed as it serves
+  auto client = p.old.connect();
+  client.say(visit("/pay"));
+  auto up = answered(p.upstream, ok);
+  auto answer = client.hear();
+  EXPECT_EQ(status_of(answer), 200);
+  EXPECT_EQ(answer.find("Connection: close"), answer.npos);
+  EXPECT_EQ(p.old.call("HEALTH\n"), "ok ready\n");
+}
+
+TEST(Upgrade, AnEndBeforeTheNewOneServesIsAPlannedEnd) {
+  Pair p;
+  p.upgrade();
+  p.old.terminate();
+  p.old.logged("serves on for a while");
+  EXPECT_EQ(p.old.ask("/-/ready"), 503);  // still let in
+  p.served();
+  EXPECT_EQ(p.old.exit_status(), 0);
+  EXPECT_EQ(p.next->ask("/-/ready"), 200);
+}
+
+TEST(Upgrade, AnOutAtEitherBindsBothAndLasts) {
+  Pair p;
+  p.upgrade();
+  p.served();
+  auto kept = p.old.connect();
+  EXPECT_EQ(p.next->call("OFFLINE s0\n"), "ok\n");
+  EXPECT_EQ(p.old.figure("hosts_down"), 1);
+  EXPECT_EQ(p.old.call("ONLINE s0\n"), "ok\n");
+  EXPECT_EQ(p.old.call("OFFLINE s0\n"), "ok\n");
+  EXPECT_EQ(p.next->figure("hosts_down"), 1);
+  p.old.terminate();
+  kept.close();
+  EXPECT_EQ(p.old.exit_status(), 0);
+  auto client = p.next->connect();
+  client.say(visit("/pay"));
+  EXPECT_EQ(status_of(client.hear()), 503);
+}
+
 }  // namespace
 }  // namespace meadow::test
