--- a/bench/baselines/plain.cpp
+++ b/bench/baselines/plain.cpp
@@ -129,6 +129,10 @@
 double Brain::tick_every() const { return core_->tick_ms; }
 void Brain::shut(int, bool, double) {}
 int Brain::avoided(double) const { return 0; }
+void Brain::whole(Visit& v, double due, double) {
+  v.due = due;
+  v.coming = false;
+}
 Lessons Brain::learned(double) const { return {}; }
 void Brain::taught(const Lessons&, double) {}
 double Brain::drop(double) const { return 0; }
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -12,6 +12,7 @@
 #include <cmath>
 #include <cstdio>
 #include <random>
+#include <utility>
 
 namespace meadow {
 namespace {
@@ -427,6 +428,7 @@
   bool permitted(const Visit& v, int i, double now) {
     const auto& be = bes[i];
     if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
+    if (v.spent && v.sent > 0) return false;
     // The last fetch was given up for want of time: another would put off the final answer past the due time.
     if (v.sent > 0 && now >= v.due - last_ticks * wire_tick) return false;
     if (be.standing != Standing::ready || be.shut) return false;
@@ -637,14 +639,45 @@
     be.tokens_at = now;
   }
 
+  void hold(Fetch& f, double now) {
+    f.counted = true;
+    ++out_all;
+    if (bes[f.be].out++ == 0) bes[f.be].waiting_since = now;
+  }
+
+  void let_go(Fetch& f, double now) {
+    auto& be = bes[f.be];
+    be.waiting_since = now;
+    if (!std::exchange(f.counted, false)) return;
+    --out_all;
+    be.out = std::max(0, be.out - 1);
+  }
+
+  // Its work is done where an answer flows: how long that takes is its client's affair.
+  void begun(Visit& v, Fetch& f, double now) {
+    v.streaming = true;
+    f.begun = now;
+    if (f.out) let_go(f, now);
+  }
+
+  void whole(Visit& v, double due, double now) {
+    v.due = due;
+    v.coming = false;
+    for (int n = 0; n < v.sent; ++n)
+      if (auto& f = v.fetches[n]; f.out && f.begun == 0 && !f.counted) {
+        f.sent = now;
+        hold(f, now);
+      }
+  }
+
   Answer send(Visit& v, int i, double now) {
     auto& be = bes[i];
     if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
     be.looked_at = be.back_at = -never;
-    if (be.out++ == 0) be.waiting_since = now;
     v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
     ++v.out;
-    ++out_all;
+    // Its server has nothing to do while a body is still coming, and may be silent all that time.
+    if (!v.coming) hold(v.fetches[v.sent - 1], now);
     // Looks are worth as much as own visits are stale: all where a server is met once in `evidence_ms`,
     // little where it is met all the time, nothing to an instance that is alone.
     double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * crowded)
@@ -684,9 +717,7 @@
     f.out = false;
     f.status = rt.status;
     --v.out;
-    --out_all;
-    be.out = std::max(0, be.out - 1);
-    be.waiting_since = now;
+    let_go(f, now);
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
     if (rt.status == Status::delivered) reported(be, rt.gauge, now);
@@ -732,7 +763,7 @@
     be.fresh = false;
     last_answer = ok ? now : last_answer;
     if (ok) {
-      double took = now - f.sent;
+      double took = (f.begun > 0 ? f.begun : now) - f.sent;
       double step = std::max(1.0, slow_end * 0.02);
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
@@ -747,7 +778,7 @@
     }
     bool sick = be.trial;
     if (f.status != Status::full) judge(f.be, !ok, now);
-    if (ok) judge_pace(be, p, now - f.sent);
+    if (ok) judge_pace(be, p, (f.begun > 0 ? f.begun : now) - f.sent);
     if (ok || !(sick || be.trial)) count(now, ok);
   }
 
@@ -979,14 +1010,16 @@
 Answer Brain::after(Visit& v, const Report& rt, double now) { return core_->after(v, rt, now); }
 Patience Brain::wait(const Visit& v, double now) { return core_->wait(v, now); }
 
+void Brain::whole(Visit& v, double due, double now) { core_->whole(v, due, now); }
+
 Answer Brain::left(Visit& v, double) {
   v.answered = true;
   return {.cancel = core_->rest(v)};
 }
 
-Answer Brain::begun(Visit& v, int number, double) {
+Answer Brain::begun(Visit& v, int number, double now) {
   if (number < 0 || number >= v.sent) return {};
-  v.streaming = true;
+  core_->begun(v, v.fetches[number], now);
   return {.cancel = core_->rest(v) & ~(1u << number)};
 }
 
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -52,6 +52,8 @@
   Status status = Status::delivered;  // meaningful once `out` is false
   int held = 0;                       // the module's fetches out, this one among them
   bool out = false;
+  bool counted = false;  // among those that its server holds
+  double begun = 0;      // its answer's first bytes; 0: none yet
 };
 
 // A visit in hand. The caller makes it at arrival and keeps it until it is answered and nothing is out; the
@@ -70,6 +72,9 @@
   bool answered = false;
   bool streaming = false;  // the answer has begun; the client owns it
   bool extra = false;      // beyond its tenant's share
+
+  // The caller's again: its body is still coming; part of it is gone and can't be sent once more.
+  bool coming = false, spent = false;
 };
 
 struct Report {
@@ -116,6 +121,7 @@
   // News.
   Answer left(Visit& v, double now);               // the client is gone
   Answer begun(Visit& v, int number, double now);  // a streamed answer has started
+  void whole(Visit& v, double due, double now);    // the body of one that was coming has come
   void list(ListKind kind, std::span<const Entry> entries, double now);
   void probed(int be, Status status, double took, const Gauge& gauge, double now);
   Chores tick(double now);  // every tick_every() ms
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -83,7 +83,9 @@
   fields_.clear();
   method_ = target_ = {};
   status_ = 0;
-  old_ = no_body_ = empty_line_ = false;
+  old_ = no_body_ = empty_line_ = starved_ = spent_ = false;
+  body_total_ = 0;
+  length_ = {};
 }
 
 std::string_view Message::find(std::string_view name) const {
@@ -122,18 +124,48 @@
   return taken;
 }
 
+Message::Moved Message::move_body(transport::Chain& out, bool chunked) {
+  auto n = body_size();
+  if (n == 0) return Moved::nothing;
+  std::string piece;
+  piece.reserve(n + 16);
+  if (chunked) {
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", n);
+    piece = size;
+  }
+  each_body([&](std::string_view part) { piece += part; });
+  if (chunked) piece += "\r\n";
+  if (!out.append(piece)) return Moved::starved;
+  bytes_.drop_after(head_size_);
+  spent_ = true;
+  return Moved::bytes;
+}
+
+void Message::end() {
+  if (at_ == At::until_end) at_ = At::whole;
+}
+
 std::size_t Message::feed(std::string_view in) {
   const auto given = in.size();
+  starved_ = false;
   while (!in.empty() && fault_ == Fault::none && at_ != At::whole) {
-    if (at_ == At::body || at_ == At::chunk) {
+    if (at_ == At::body || at_ == At::chunk || at_ == At::until_end) {
       auto piece = in.substr(0, left_);
+      if (body_ == Body::flowing) {
+        if (full()) break;
+        piece = piece.substr(0, most_body - body_size());
+      }
       if (!bytes_.append(piece)) {
-        fail(Fault::no_room);
+        starved_ = body_ == Body::flowing;
+        if (!starved_) fail(Fault::no_room);
         break;
       }
       in.remove_prefix(piece.size());
       left_ -= piece.size();
-      if (left_ == 0) at_ = at_ == At::body ? At::whole : At::chunk_end;
+      body_total_ += piece.size();
+      if (at_ == At::until_end && body_total_ > largest_body) fail(Fault::body_too_large);
+      if (at_ != At::until_end && left_ == 0) at_ = at_ == At::body ? At::whole : At::chunk_end;
       continue;
     }
     auto newline = in.find('\n');
@@ -268,9 +300,14 @@
     auto digits = [](char c) { return c >= '0' && c <= '9'; };
     if (length.empty() || !std::all_of(length.begin(), length.end(), digits)) return fail(Fault::bad);
     auto [end, bad] = std::from_chars(length.data(), length.data() + length.size(), left_);
-    if (bad != std::errc{} || (body_ == Body::kept && left_ > most_body)) return fail(Fault::body_too_large);
+    if (bad != std::errc{} || left_ > largest()) return fail(Fault::body_too_large);
+    length_ = left_;
   } else if (kind_ == Kind::answer) {
-    return fail(Fault::bad);  // ended by the connection's end: a cut one would pass for whole
+    // Ended by the connection's end, which it must say: a cut one would pass for whole.
+    if (body_ != Body::flowing || keep_alive()) return fail(Fault::bad);
+    left_ = std::string_view::npos;
+    at_ = At::until_end;
+    return;
   }
   at_ = left_ > 0 ? At::body : At::whole;
 }
@@ -280,7 +317,7 @@
   auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), left_, 16);
   if (text.empty() || end != text.data() + text.size() || bad == std::errc::invalid_argument)
     return fail(Fault::bad);
-  if (bad != std::errc{} || (body_ == Body::kept && left_ > most_body - body_size()))
+  if (bad != std::errc{} || left_ > largest() - std::min(largest(), body_total_))
     return fail(Fault::body_too_large);
   at_ = left_ > 0 ? At::chunk : At::trailer;
 }
@@ -291,6 +328,25 @@
   to.append(name).append(": ").append(value).append("\r\n");
 }
 
+std::string request_head(const Message& visit, double wait_ms) {
+  std::string head;
+  head.append(visit.method()).append(" ").append(visit.target()).append(" HTTP/1.1\r\n");
+  for (const auto& f : visit.fields())
+    if (visit.passes_on(f) && !same_word(f.name, names::budget)) add_field(head, f.name, f.value);
+  add_field(head, names::budget, std::to_string(std::max(0L, std::lround(std::floor(wait_ms)))));
+  return head;
+}
+
+// How the body that follows is framed.
+void add_framing(std::string& head, const Message& m, bool& chunked) {
+  chunked = !m.length();
+  if (chunked)
+    add_field(head, "Transfer-Encoding", "chunked");
+  else
+    add_field(head, "Content-Length", std::to_string(*m.length()));
+  head += "\r\n";
+}
+
 bool with_body(transport::Chain& out, std::string& head, const Message& m) {
   if (m.no_body()) {  // what the body of a GET would have
     if (auto length = m.find("Content-Length"); !length.empty()) add_field(head, "Content-Length", length);
@@ -306,28 +362,50 @@
 }  // namespace
 
 bool write_request(transport::Chain& out, const Message& visit, double wait_ms) {
-  std::string head;
-  head.append(visit.method()).append(" ").append(visit.target()).append(" HTTP/1.1\r\n");
-  for (const auto& f : visit.fields())
-    if (visit.passes_on(f) && !same_word(f.name, names::budget)) add_field(head, f.name, f.value);
-  add_field(head, names::budget, std::to_string(std::max(0L, std::lround(std::floor(wait_ms)))));
+  auto head = request_head(visit, wait_ms);
   return with_body(out, head, visit);
 }
 
+bool write_request_head(transport::Chain& out, const Message& visit, double wait_ms, bool& chunked) {
+  auto head = request_head(visit, wait_ms);
+  add_framing(head, visit, chunked);
+  return out.append(head);
+}
+
 bool write_get(transport::Chain& out, std::string_view host, std::string_view target) {
   std::string head;
   head.append("GET ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n\r\n");
   return out.append(head);
 }
 
-bool write_answer(transport::Chain& out, const Message& answer, bool close) {
+namespace {
+
+std::string answer_head(const Message& answer, bool close) {
   std::string head = "HTTP/1.1 200 OK\r\n";
   for (const auto& f : answer.fields())
     if (answer.passes_on(f) && !same_word(f.name, names::load_report)) add_field(head, f.name, f.value);
   if (close) add_field(head, "Connection", "close");
+  return head;
+}
+
+}  // namespace
+
+bool write_answer(transport::Chain& out, const Message& answer, bool close) {
+  auto head = answer_head(answer, close);
   return with_body(out, head, answer);
 }
 
+// One that knows no chunks is given a body of unknown length until the connection's end.
+bool write_answer_head(transport::Chain& out, const Message& answer, bool close, bool to_old, bool& chunked) {
+  auto head = answer_head(answer, close || (to_old && !answer.length()));
+  if (to_old && !answer.length()) {
+    chunked = false;
+    return out.append(head += "\r\n");
+  }
+  add_framing(head, answer, chunked);
+  return out.append(head);
+}
+
 bool write_own(transport::Chain& out, int status, std::string_view extra, std::string_view body, bool close,
                bool head_only) {
   std::string head = "HTTP/1.1 ";
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -10,7 +10,8 @@
 
 namespace meadow::protocol {
 
-inline constexpr std::size_t most_body = 64 * 1024;
+inline constexpr std::size_t most_body = 64 * 1024;           // of what is held at a time
+inline constexpr std::size_t largest_body = 33 * 1024 * 1024;  // of what flows
 inline constexpr std::size_t most_fields = 100;
 
 bool same_word(std::string_view a, std::string_view b);  // ASCII, whatever the case
@@ -33,7 +34,9 @@
 class Message {
  public:
   enum class Kind : std::uint8_t { request, answer };
-  enum class Body : std::uint8_t { kept, streamed };  // streamed: without end, taken by take_body()
+  // kept: held whole. streamed: without end, taken by take_body(). flowing: held up to `most_body` at a time; what
+  // is passed on makes room for more.
+  enum class Body : std::uint8_t { kept, streamed, flowing };
 
   Message(transport::Pool& pool, Kind kind, Body body = Body::kept)
       : kind_(kind), body_(body), bytes_(pool) {}
@@ -59,6 +62,20 @@
   [[nodiscard]] int count(std::string_view name) const;
   [[nodiscard]] bool keep_alive() const;
   [[nodiscard]] std::size_t body_size() const { return bytes_.size() - head_size_; }
+  // Of a flowing body: all that may be held is; there was no buffer for more; part of it has been passed on.
+  [[nodiscard]] bool full() const { return body_size() >= most_body; }
+  [[nodiscard]] bool starved() const { return starved_; }
+  [[nodiscard]] bool spent() const { return spent_; }
+  // Its head tells of a body that can't be held at once.
+  [[nodiscard]] bool known_large() const { return length_ && *length_ > most_body; }
+  [[nodiscard]] std::optional<std::size_t> length() const { return length_; }
+  [[nodiscard]] bool old() const { return old_; }
+  // An answer that lasts until its connection ends, which it has.
+  [[nodiscard]] bool until_end() const { return at_ == At::until_end; }
+  void end();
+  // Passes on what is held of the body, as a chunk if asked. Nothing moves where the pool is out.
+  enum class Moved : std::uint8_t { nothing, bytes, starved };
+  Moved move_body(transport::Chain& out, bool chunked);
   template <class F>
   void each_body(F&& f) const {
     bytes_.each(head_size_, f);
@@ -68,7 +85,7 @@
   [[nodiscard]] bool passes_on(const Field& field) const;
 
  private:
-  enum class At : std::uint8_t { start, field, body, chunk_size, chunk, chunk_end, trailer, whole };
+  enum class At : std::uint8_t { start, field, body, chunk_size, chunk, chunk_end, trailer, until_end, whole };
 
   void line(std::string_view text);
   bool start_line(std::string_view text);
@@ -76,6 +93,9 @@
   void frame();
   void chunk_size_line(std::string_view text);
   void fail(Fault f) { fault_ = f; }
+  [[nodiscard]] std::size_t largest() const {
+    return body_ == Body::kept ? most_body : body_ == Body::flowing ? largest_body : std::size_t(-1);
+  }
   [[nodiscard]] bool listed(std::string_view field, std::string_view word) const;
 
   Kind kind_;
@@ -93,6 +113,9 @@
   bool old_ = false;         // HTTP/1.0
   bool empty_line_ = false;  // one came before the request
   bool no_body_ = false;
+  bool starved_ = false, spent_ = false;
+  std::size_t body_total_ = 0;         // as much as has come
+  std::optional<std::size_t> length_;  // as stated
 };
 
 // A token list's test: does `value` hold `word`?
@@ -100,6 +123,10 @@
 
 // Writers. False: the pool is out of buffers.
 bool write_request(transport::Chain& out, const Message& visit, double wait_ms);
+// The head alone, of one whose body flows; `chunked` says how the body is to be passed on behind it.
+bool write_request_head(transport::Chain& out, const Message& visit, double wait_ms, bool& chunked);
+bool write_answer_head(transport::Chain& out, const Message& answer, bool close, bool to_old, bool& chunked);
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
 bool write_get(transport::Chain& out, std::string_view host, std::string_view target);
 bool write_answer(transport::Chain& out, const Message& answer, bool close);
 // An answer of our own; `extra` holds whole header lines.
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -28,6 +28,8 @@
 // Between an answer's last byte written here and taken at the client.
 constexpr double own_delay_ms = 2;
 constexpr std::uint32_t most_budget_ms = 3600000;
+// A body that still comes is held to its client's progress, not to this.
+constexpr double most_coming_ms = 3600000;
 constexpr FetchId probe_bit = FetchId{1} << 55;
 constexpr int fetch_bits = 3;
 static_assert(most_fetches <= 1 << fetch_bits);
@@ -186,7 +188,8 @@
   for (auto& c : std::exchange(commands_, {})) {
     switch (c.kind) {
       case Command::fetch:
-        upstreams_.start(fetch_id(c.job, c.number), c.be, *hands_.at(c.job).visit, c.value);
+        upstreams_.start(fetch_id(c.job, c.number), c.be, *hands_.at(c.job).visit, c.value,
+                         hands_.at(c.job).budget);
         break;
       case Command::probe:
         upstreams_.probe(probe_bit | static_cast<FetchId>(c.be), c.be,
@@ -200,6 +203,15 @@
       case Command::pass_on:
         clients_.pass_on(c.client, *c.answer);
         break;
+      case Command::begin:
+        clients_.begin(c.client, std::move(c.answer));
+        break;
+      case Command::more:
+        clients_.more(c.client);
+        break;
+      case Command::cut:
+        clients_.cut(c.client);
+        break;
       case Command::bounce: {
         std::string extra;
         if (c.value > 0) {
@@ -220,8 +232,37 @@
 // --- What comes in -------------------------------------------------------------------------------------
 
 void Balancer::call(Call& c) {
-  if (!c.request) return gone(c.client);
-  const auto& m = *c.request;
+  switch (c.what) {
+    case Call::request:
+      return visit(c);
+    case Call::more:
+      return body(c.client);
+    case Call::room:
+      if (auto it = jobs_.find(c.client); it != jobs_.end())
+        upstreams_.room(fetch_id(it->second, hands_.at(it->second).fetch));
+      return;
+    case Call::gone:
+      return gone(c.client);
+  }
+}
+
+// More of a visit's body has come. With its last byte its time begins.
+void Balancer::body(ClientId client) {
+  auto it = jobs_.find(client);
+  if (it == jobs_.end()) return;
+  auto job = it->second;
+  auto& hand = hands_.at(job);
+  auto fetch = fetch_id(job, hand.fetch);
+  if (hand.coming && hand.visit->whole()) {
+    hand.coming = false;
+    upstreams_.limit(fetch, visits_.whole(job, now_ + hand.budget - own_delay_ms, now_));
+  }
+  upstreams_.more(fetch);
+  clients_.room(client);
+}
+
+void Balancer::visit(Call& c) {
+  const auto& m = *c.message;
   auto path = protocol::path_of(m.target());
   if (path.starts_with(names::own_paths)) {
     clients_.meant_for(c.client, -1);
@@ -240,15 +281,19 @@
   // No room to hold it, whatever might be decided: told at once.
   if (static_cast<double>(hands_.size()) >= most_held_ || jobs_.size() >= clients_.most())
     return clients_.answer(c.client, 503, "", "");
-  double budget = figure(m.find(names::budget), timeouts_[static_cast<std::size_t>(prefix)]);
+  double budget =
+      std::clamp(figure(m.find(names::budget), timeouts_[static_cast<std::size_t>(prefix)]), 0.0, 1e7);
+  bool coming = !m.whole();
   Visit v{.prefix = prefix,
           .tenant = place_in(tenants_, m.find(names::tenant)),
           .arrived = now_,
-          .due = now_ + std::clamp(budget, 0.0, 1e7) - own_delay_ms,
-          .repeat = m.find(names::again) == "1"};
+          .due = now_ + (coming ? most_coming_ms : budget - own_delay_ms),
+          .repeat = m.find(names::again) == "1",
+          .coming = coming};
   auto job = next_job_++;
   open_.insert(m.find(names::id));
-  hands_.emplace(job, Hand{.client = c.client, .visit = std::move(c.request)});
+  hands_.emplace(job,
+                 Hand{.client = c.client, .visit = std::move(c.message), .budget = budget, .coming = coming});
   jobs_[c.client] = job;
   visits_.arrived(job, v, now_);
 }
@@ -266,7 +311,7 @@
   if (open_.contains(id)) return 409;
   bool readlike = repeats_[prefix] == "idempotent", tagged = repeats_[prefix] == "deduplicated";
   if (m.method() != (readlike ? "GET" : "POST")) return 405;
-  if (readlike && m.body_size() > 0) return 400;
+  if (readlike && (m.body_size() > 0 || !m.whole())) return 400;
   if (tagged ? m.find(names::key).empty() : m.count(names::key) > 0) return 400;
   if (m.count(names::budget) == 0) return 0;
   auto text = m.find(names::budget);
@@ -276,7 +321,7 @@
 }
 
 void Balancer::own(const Call& c) {
-  auto path = protocol::path_of(c.request->target());
+  auto path = protocol::path_of(c.message->target());
   if (path != names::own_ready) return clients_.answer(c.client, 404, "", "");
   if (phase_ == Phase::serving) return clients_.answer(c.client, 200, "", "ready\n");
   clients_.answer(c.client, 503, "", "ending\n");
@@ -302,8 +347,42 @@
   clients_.answer(client, 500, "", "");  // for one that still listens
 }
 
+bool Balancer::client_of(Job job, ClientId& client) const {
+  auto it = hands_.find(job);
+  if (it == hands_.end()) return false;
+  client = it->second.client;
+  auto open = jobs_.find(client);
+  return open != jobs_.end() && open->second == job;
+}
+
+// From here on this answer is the visit's, whatever becomes of it.
+void Balancer::begun(Ending& e) {
+  Job job = e.fetch >> fetch_bits;
+  int number = static_cast<int>(e.fetch & ((1 << fetch_bits) - 1));
+  ClientId client = 0;
+  if (!client_of(job, client) || !visits_.unanswered(job)) return;
+  hands_.at(job).flowing = true;
+  hands_.at(job).fetch = number;
+  visits_.begun(job, number, now_);
+  commands_.push_back({.kind = Command::begin, .job = job, .client = client, .answer = std::move(e.answer)});
+}
+
 void Balancer::ended(Ending& e) {
   Gauge gauge;
+  ClientId client = 0;
+  switch (e.what) {
+    case Ending::begun:
+      return begun(e);
+    case Ending::more:
+      if (client_of(e.fetch >> fetch_bits, client))
+        commands_.push_back({.kind = Command::more, .client = client});
+      return;
+    case Ending::room:
+      if (client_of(e.fetch >> fetch_bits, client)) clients_.room(client);
+      return;
+    case Ending::ended:
+      break;
+  }
   if (e.answer && !columns_.empty()) {
     std::string text(e.answer->count(names::load_report) == 1 ? e.answer->find(names::load_report)
                                                               : std::string_view{});
@@ -327,14 +406,23 @@
           {"ms", now_ - e.sent}});
   if (auto it = hands_.find(job); it != hands_.end())
     it->second.last = e.status == Status::timeout ? 504 : e.status == Status::error ? 500 : 502;
+  bool flowing = false;
+  if (auto it = hands_.find(job); it != hands_.end()) {
+    if (it->second.visit->spent()) visits_.spent(job);
+    flowing = it->second.flowing && it->second.fetch == number;
+  }
   // A delivered answer needs no decision: it is passed on, and the module hears that the visit is closed.
-  if (open && e.status == Status::delivered)
+  if (flowing && open)
+    commands_.push_back({.kind = e.status == Status::delivered ? Command::more : Command::cut,
+                         .job = job,
+                         .client = answering(job)});
+  else if (open && e.status == Status::delivered)
     commands_.push_back(
         {.kind = Command::pass_on, .job = job, .client = answering(job), .answer = std::move(e.answer)});
   visits_.ended(job,
                 {.number = number,
                  .status = e.status,
-                 .closed = !open || e.status == Status::delivered,
+                 .closed = !open || flowing || e.status == Status::delivered,
                  .gauge = gauge},
                 now_);
 }
@@ -403,6 +491,7 @@
   for (int be : c.probe) commands_.push_back({.kind = Command::probe, .be = be});
   for (const auto& line : c.lines) say_(Level::info, line);
   upstreams_.close_idle();
+  upstreams_.let_flow();
   clients_.sweep();
   if (each_tick_) each_tick_();
   if (now_ < sweep_at_) return;
@@ -421,6 +510,7 @@
 }
 
 void Balancer::send(Job job, int number, int be, double limit) {
+  hands_.at(job).fetch = number;
   commands_.push_back({.kind = Command::fetch, .job = job, .number = number, .be = be, .value = limit});
 }
 
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -78,17 +78,21 @@
  private:
   struct Hand {  // a visit's client, and its bytes as long as a fetch may need them
     ClientId client = 0;
-    std::unique_ptr<protocol::Message> visit;
-    int last = 0;  // the status that tells best how its fetches went
+    Flow visit;
+    double budget = 0;
+    int fetch = -1;        // the latest
+    bool coming = false;   // the rest of its body
+    bool flowing = false;  // its answer, to its client
+    int last = 0;          // the status that tells best how its fetches went
   };
   struct Command {
-    enum Kind : std::uint8_t { fetch, pass_on, bounce, error, cancel, probe } kind;
+    enum Kind : std::uint8_t { fetch, pass_on, begin, more, cut, bounce, error, cancel, probe } kind;
     Job job = 0;
     int number = 0, be = -1;
     double value = 0;  // a limit, or when to come back
     ClientId client = 0;
     int status = 0;
-    std::unique_ptr<protocol::Message> answer = {};
+    Flow answer = {};
   };
   enum class Phase : std::uint8_t { serving, leaving, winding_up, over };
 
@@ -101,10 +105,14 @@
   void hand_over();  // what was gathered goes to the module
   void carry_out();  // what the module answered
   void call(Call& c);
+  void visit(Call& c);
+  void body(ClientId client);
+  void begun(Ending& e);
   // The status that turns a visit away which can't be meant as it stands; 0: nothing is wrong with it.
   [[nodiscard]] int wrong_with(const protocol::Message& m, std::size_t prefix) const;
   void own(const Call& c);
   void gone(ClientId client);
+  [[nodiscard]] bool client_of(Job job, ClientId& client) const;
   ClientId answering(Job job);
   void ended(Ending& e);
   void told(protocol::Listing news);
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace meadow::routing {
 
@@ -16,12 +17,18 @@
 // From connecting, or from a later visit's first byte, until the visit is whole. Callers are near: what takes
 // longer is fed drop by drop, or silent, and holds a descriptor that others wait for.
 constexpr double whole_ms = 2500;
+// From the head on, and as long as its body takes at this rate: half of what a slow line brings.
+constexpr double body_ms = 800, body_bytes_a_ms = 32;
+// Of an answer that flows, so much is on its way out at a time.
+constexpr std::size_t most_out = 32 * 1024;
 // An answer that is not taken for this long ends the connection.
 constexpr double take_ms = 10000;
 // After a last answer the other side has this long, and this much more to say, until it ends the connection:
 // closed at once, with bytes of its own on the way, it might lose the answer.
 constexpr double linger_ms = 1000;
 constexpr std::size_t linger_bytes = 256 * 1024;
+// The same for one that was answered while its body came.
+constexpr double linger_body_ms = 10000;
 // Not shed for this long after connecting, and after a first visit has begun.
 constexpr double fresh_ms = 25, midway_ms = 100;
 constexpr int most_looks = 16;  // at sockets, for one that can be shed
@@ -38,10 +45,16 @@
   ClientId id;
   Stream stream;
   State state = State::reading;
-  std::unique_ptr<Message> request;
+  Flow request, answer;                              // the answer: one that flows
+  bool coming = false;                               // the request's body, while the request is in hand
+  bool told = false;                                 // there is more of it
+  bool chunked = false, ended = false, old = false;  // of the answer that flows
+  double head_due = 0, paused_at = 0;  // not read since then, as what is held of its body has to go first
+  std::size_t body = 0;                // of the request, as much as has come
   bool keep = true, head_only = false, gone = false, promised = false;
   bool proven = false;   // has sent a whole visit
   bool counted = false;  // a request in hand that the figures know
+  bool flying = false;   // and that has come whole
   int prefix = -1, status = 0;
   std::size_t drained = 0;
   double due = transport::DueTimes::none;
@@ -114,6 +127,10 @@
       if (c.state != Conn::State::in_hand) break;
       [[fallthrough]];  // the end may have come with the request
     case Conn::State::in_hand:
+      if (c.coming) {
+        read_body(c);
+        if (c.coming) break;
+      }
       // Nothing more is read while a request is in hand, so an end shows only here.
       if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) gone(c);
       break;
@@ -132,7 +149,7 @@
   for (int i = 0; i < reads_a_turn; ++i) {
     c.drained += c.stream.bytes().size();
     c.stream.consume(c.stream.bytes().size());
-    if (c.drained > linger_bytes) return close(c);
+    if (c.drained > (c.coming ? protocol::largest_body : linger_bytes)) return close(c);
     auto got = c.stream.fill();
     if (got == Stream::Got::nothing) return;
     if (got != Stream::Got::bytes) return close(c);
@@ -143,7 +160,8 @@
 void Clients::read(Conn& c) {
   for (int i = 0; i < reads_a_turn; ++i) {
     while (!c.stream.bytes().empty()) {
-      if (!c.request) c.request = std::make_unique<Message>(pool_, Message::Kind::request);
+      if (!c.request)
+        c.request = std::make_shared<Message>(pool_, Message::Kind::request, Message::Body::flowing);
       if (!c.request->started()) {
         if (c.proven) {
           keep(c);
@@ -152,9 +170,13 @@
           spare(c, Spare::midway);
         }
       }
-      c.stream.consume(c.request->feed(c.stream.bytes()));
+      bool head = c.request->head_whole();
+      bool on = fed(c);
       if (c.request->fault() != Fault::none) return refuse(c, static_cast<int>(c.request->fault()));
-      if (c.request->whole()) return called(c);
+      if (!head && c.request->head_whole() && !c.request->whole())
+        c.head_due = std::max(c.due, now_ + body_ms);
+      if (c.request->whole() || c.request->full()) return called(c);
+      if (!on) return c.stream.again(EPOLLIN);
     }
     if (c.request && c.request->head_whole() && !c.promised &&
         protocol::holds_word(c.request->find("Expect"), "100-continue")) {
@@ -168,18 +190,77 @@
   c.stream.again(EPOLLIN);
 }
 
+// Takes what has come of the request; a body has as long as its bytes are worth. False: there is no room now.
+bool Clients::fed(Conn& c) {
+  auto n = c.request->feed(c.stream.bytes());
+  c.stream.consume(n);
+  if (c.request->starved()) return false;
+  if (!c.request->head_whole() || c.head_due == 0) return true;
+  c.body += n;
+  allow(c, c.head_due + static_cast<double>(c.body) / body_bytes_a_ms - now_);
+  return true;
+}
+
+// What comes of a body whose request is in hand already.
+void Clients::read_body(Conn& c) {
+  auto tell = [&] {
+    if (!std::exchange(c.told, true)) calls_.push_back({.what = Call::more, .client = c.id});
+  };
+  for (int i = 0; i < reads_a_turn; ++i) {
+    while (!c.stream.bytes().empty()) {
+      if (c.request->full()) {  // until there is room, which is not the client's affair
+        c.paused_at = now_;
+        return allow(c, take_ms);
+      }
+      bool on = fed(c);
+      if (c.request->fault() != Fault::none) {
+        gone(c);
+        return refuse(c, static_cast<int>(c.request->fault()));
+      }
+      tell();
+      if (c.request->whole()) {
+        c.coming = false;
+        c.request.reset();
+        c.flying = c.counted;
+        tally_.in_flight += c.flying;
+        return due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
+      }
+      if (!on) return c.stream.again(EPOLLIN);
+    }
+    auto got = c.stream.fill();
+    if (got == Stream::Got::nothing) return;
+    if (got != Stream::Got::bytes) return close(c);  // what was not whole was not taken
+  }
+  c.stream.again(EPOLLIN);
+}
+
+void Clients::room(ClientId id) {
+  auto it = conns_.find(id);
+  if (it == conns_.end()) return;
+  auto& c = *it->second;
+  c.told = false;
+  if (c.state != Conn::State::in_hand || !c.coming) return;
+  if (c.paused_at > 0) c.head_due += now_ - std::exchange(c.paused_at, 0);
+  read_body(c);
+}
+
 void Clients::called(Conn& c) {
   c.state = Conn::State::in_hand;
   c.keep = c.request->keep_alive();
+  c.old = c.request->old();
+  c.coming = !c.request->whole();
+  c.told = false;
   c.head_only = c.request->method() == "HEAD";
   c.promised = false;
   c.proven = true;
   keep(c);
-  due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
+  if (!c.coming) due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
   c.counted = true;
   c.prefix = -1;
-  ++tally_.in_flight;
-  calls_.push_back({.client = c.id, .request = std::move(c.request)});
+  c.flying = !c.coming;  // taken with its last byte
+  tally_.in_flight += c.flying;
+  calls_.push_back({.client = c.id, .message = c.request});
+  if (!c.coming) c.request.reset();
 }
 
 void Clients::meant_for(ClientId id, int prefix) {
@@ -189,13 +270,13 @@
   c.prefix = prefix;
   if (prefix >= 0 || !c.counted) return;
   c.counted = false;
-  --tally_.in_flight;
+  tally_.in_flight -= std::exchange(c.flying, false);
 }
 
 // Its request has ended, with that status or before any answer was out.
 void Clients::settle(Conn& c, int status) {
   if (!std::exchange(c.counted, false)) return;
-  --tally_.in_flight;
+  tally_.in_flight -= std::exchange(c.flying, false);
   tally_.count(c.prefix, status);
 }
 
@@ -209,7 +290,8 @@
   answer(id, status, "", "");
 }
 
-bool Clients::last_answer(const Conn& c) const { return !c.keep || winding_up_ || c.gone; }
+// The rest of a body that was answered as it came is no next request.
+bool Clients::last_answer(const Conn& c) const { return !c.keep || winding_up_ || c.gone || c.coming; }
 
 void Clients::pass_on(ClientId id, const Message& answer) {
   auto it = conns_.find(id);
@@ -227,6 +309,64 @@
   reply(c, protocol::write_own(c.stream.out(), status, extra, body, last_answer(c), c.head_only));
 }
 
+void Clients::begin(ClientId id, Flow answer) {
+  auto it = conns_.find(id);
+  if (it == conns_.end() || it->second->state != Conn::State::in_hand) return;
+  auto& c = *it->second;
+  c.status = 200;
+  c.answer = std::move(answer);
+  c.ended = false;
+  if (c.old && !c.answer->length()) c.keep = false;
+  if (!protocol::write_answer_head(c.stream.out(), *c.answer, last_answer(c), c.old, c.chunked)) {
+    c.answer.reset();
+    gone(c);
+    return reply(c, false);
+  }
+  c.state = Conn::State::answering;
+  keep(c);
+  allow(c, take_ms);
+  pump(c);
+}
+
+void Clients::more(ClientId id) {
+  auto it = conns_.find(id);
+  if (it != conns_.end() && it->second->answer) pump(*it->second);
+}
+
+void Clients::cut(ClientId id) {
+  auto it = conns_.find(id);
+  if (it == conns_.end() || !it->second->answer) return;
+  auto& c = *it->second;
+  c.answer.reset();
+  // Without a length or chunks an orderly end would pass for the answer's.
+  if (!c.chunked) c.stream.reset();
+  close(c);
+}
+
+// Passes on what there is of an answer that flows, as far as the client takes it.
+void Clients::pump(Conn& c) {
+  bool moved = false, starved = false;
+  for (;;) {
+    auto before = c.stream.out().size();
+    if (!c.stream.flush()) return close(c);
+    if (c.stream.out().size() < before) allow(c, take_ms);
+    if (c.ended || c.stream.out().size() >= most_out) break;
+    auto how = c.answer->move_body(c.stream.out(), c.chunked);
+    moved = moved || how == Message::Moved::bytes;
+    if (how == Message::Moved::bytes) continue;
+    starved = how == Message::Moved::starved;
+    if (starved || !c.answer->whole()) break;
+    starved = c.chunked && !c.stream.out().append(protocol::last_chunk);
+    if (starved) break;
+    c.ended = true;
+  }
+  if (moved && !c.answer->whole()) calls_.push_back({.what = Call::room, .client = c.id});
+  if (starved) return c.stream.again(EPOLLOUT);
+  if (!c.ended) return;
+  c.answer.reset();
+  sent(c);
+}
+
 void Clients::reply(Conn& c, bool written) {
   if (!written) {
     // Out of buffers: a short word, which needs but one, is better than none.
@@ -244,17 +384,22 @@
 
 // Goes on with an answer, and after it with the next request, which may be here already.
 void Clients::sent(Conn& c) {
+  if (c.answer) return pump(c);
+  auto before = c.stream.out().size();
   if (!c.stream.flush()) return close(c);
+  if (c.stream.out().size() < before) allow(c, take_ms);
   if (!c.stream.flushed()) return;
   settle(c, c.status);
   if (last_answer(c)) {
     c.state = Conn::State::lingering;
     c.stream.end_sending();
-    allow(c, linger_ms);
+    allow(c, c.coming ? linger_body_ms : linger_ms);
     spare(c, Spare::lingering);
     return drain(c);
   }
   c.state = Conn::State::reading;
+  c.head_due = 0;
+  c.body = 0;
   due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
   spare(c, Spare::resting);
   read(c);
@@ -271,6 +416,10 @@
   }
   auto& c = *conns_.at(id);
   if (c.state == Conn::State::reading && c.request && c.request->started()) return refuse(c, 408);
+  if (c.state == Conn::State::in_hand && c.coming) {
+    gone(c);
+    return refuse(c, 408);
+  }
   close(c);
 }
 
@@ -324,14 +473,14 @@
 }
 
 void Clients::gone(Conn& c) {
-  if (!c.gone) calls_.push_back({.client = c.id, .request = {}});
+  if (!c.gone) calls_.push_back({.what = Call::gone, .client = c.id});
   c.gone = true;
 }
 
 // The one place where a connection is given back.
 void Clients::close(Conn& c) {
   if (c.state == Conn::State::closed) return;
-  if (c.state == Conn::State::in_hand) gone(c);
+  if (c.state == Conn::State::in_hand || c.answer) gone(c);
   settle(c, 500);
   c.state = Conn::State::closed;
   keep(c);
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -17,10 +17,18 @@
 
 using ClientId = std::uint64_t;
 
-// A whole request, or that a client with an unanswered one has gone.
+// A message whose bytes one side takes in while the other passes them on.
+using Flow = std::shared_ptr<protocol::Message>;
+
 struct Call {
+  enum What : std::uint8_t {
+    request,  // one that is whole, or whose body is too large to be held
+    more,     // more of that body is there, or all of it
+    room,     // some of the answer that flows to it has been taken
+    gone      // a client with an unanswered request has gone
+  } what = request;
   ClientId client = 0;
-  std::unique_ptr<protocol::Message> request;  // none: gone
+  Flow message = {};
 };
 
 class Clients final : transport::Ready {
@@ -37,6 +45,13 @@
   [[nodiscard]] std::vector<Call>& calls() { return calls_; }
   // Answers to the request in hand of that client; of no effect where it is gone or has its answer.
   void pass_on(ClientId id, const protocol::Message& answer);
+  // The same for an answer whose body flows: its head, and what there is of the body. More of it has come;
+  // its upstream broke, and the client is to see that.
+  void begin(ClientId id, Flow answer);
+  void more(ClientId id);
+  void cut(ClientId id);
+  // What was held of the request's body has been passed on.
+  void room(ClientId id);
   void answer(ClientId id, int status, std::string_view extra, std::string_view body);
   // The same for what can't be served whatever happens: its connection ends.
   void refuse(ClientId id, int status);
@@ -78,6 +93,9 @@
   void ready(std::uint32_t events) override;
   void ready(Conn& c, std::uint32_t events);
   void read(Conn& c);
+  void read_body(Conn& c);
+  bool fed(Conn& c);
+  void pump(Conn& c);
   void called(Conn& c);
   void refuse(Conn& c, int status);
   void allow(Conn& c, double ms);
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -28,6 +28,12 @@
 constexpr std::size_t ends_needed = 5, most_ends = 32, ends_agree = 3;
 // Reads of one connection before others have their turn.
 constexpr int reads_a_turn = 8;
+// Of a visit whose body flows, so much is on its way out at a time.
+constexpr std::size_t most_out = 32 * 1024;
+// An answer of unknown length is held this long at most, so that its first bytes don't wait for its last.
+constexpr double held_ms = 200;
+// An answer that flows ends when nothing more of it comes for this long, though there is room.
+constexpr double flow_ms = 10000;
 }  // namespace
 
 struct Upstreams::Conn final : transport::Ready {
@@ -44,7 +50,9 @@
   Stream stream;
   State state = State::dialling;
   FetchId fetch = 0;
-  std::unique_ptr<Message> answer;
+  std::shared_ptr<Message> answer;
+  double head_at = 0;                 // when its head was whole
+  bool paused = false;                // until what is held of it has been passed on
   double idle_since = 0, rested = 0;  // when it last fell idle, and for how long it had before its fetch
   double due = DueTimes::none;
 };
@@ -159,8 +167,15 @@
   while (!s.idle.empty()) close(*s.idle.back());
 }
 
-void Upstreams::start(FetchId id, int be, const Message& visit, double limit_ms) {
-  begin(id, {.be = be, .visit = &visit, .path = {}, .limit_at = now_ + limit_ms});
+void Upstreams::start(FetchId id, int be, Message& visit, double limit_ms, double told_ms) {
+  bool flows = !visit.whole();
+  begin(id, {.be = be,
+             .visit = &visit,
+             .told = told_ms,
+             .flows = flows,
+             .all_out = !flows,
+             .path = {},
+             .limit_at = now_ + limit_ms});
 }
 
 void Upstreams::probe(FetchId id, int be, std::string_view path, double limit_ms) {
@@ -253,11 +268,15 @@
   f.conn = &c;
   due_.set(due_key(fetch_due, id), f.due, f.limit_at);
   c.rested = c.idle_since > 0 ? now_ - c.idle_since : 0;
-  if (!c.answer) c.answer = std::make_unique<Message>(pool_, Message::Kind::answer);
+  if (!c.answer) c.answer = std::make_shared<Message>(pool_, Message::Kind::answer, Message::Body::flowing);
   c.answer->reset();
+  c.head_at = 0;
+  c.paused = false;
   auto& out = c.stream.out();
   bool ok;
-  if (f.visit) {
+  if (f.flows) {
+    ok = protocol::write_request_head(out, *f.visit, f.told, f.chunked);
+  } else if (f.visit) {
     ok = protocol::write_request(out, *f.visit, f.limit_at - now_);
   } else {
     ok = protocol::write_get(out, server(f.be).dial ? server(f.be).dial->text() : server(f.be).name, f.path);
@@ -267,14 +286,72 @@
     close(c);
     return end(fetches_.find(id), Status::unreachable);
   }
-  if (!flush(c)) broke(c);
+  if (!pump(c)) broke(c);
+}
+
+// Writes what there is, and what comes behind it of a body that flows. False: the connection broke.
+bool Upstreams::pump(Conn& c) {
+  auto id = c.fetch;
+  auto& f = fetches_.at(id);
+  bool moved = false;
+  while (flush(c)) {
+    if (f.all_out || c.stream.out().size() >= most_out) {
+      if (moved && !f.visit->whole()) endings_.push_back({.what = Ending::room, .fetch = id, .be = f.be});
+      return true;
+    }
+    auto how = f.visit->move_body(c.stream.out(), f.chunked);
+    moved = moved || how == Message::Moved::bytes;
+    if (how == Message::Moved::nothing && f.visit->whole() &&
+        (!f.chunked || c.stream.out().append(protocol::last_chunk)))
+      f.all_out = true;
+    else if (how == Message::Moved::starved || f.visit->whole())
+      return c.stream.again(EPOLLOUT), true;
+    else if (how == Message::Moved::nothing) {
+      if (moved) endings_.push_back({.what = Ending::room, .fetch = id, .be = f.be});
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Upstreams::written(const Conn& c) const { return fetches_.at(c.fetch).all_out && c.stream.flushed(); }
+
+void Upstreams::more(FetchId id) {
+  auto it = fetches_.find(id);
+  if (it != fetches_.end() && it->second.conn && it->second.flows && !pump(*it->second.conn))
+    broke(*it->second.conn);
+}
+
+void Upstreams::limit(FetchId id, double limit_ms) {
+  auto it = fetches_.find(id);
+  if (it == fetches_.end() || it->second.begun) return;
+  auto& f = it->second;
+  f.limit_at = now_ + limit_ms;
+  if (f.conn) due_.set(due_key(fetch_due, id), f.due, f.limit_at);
+}
+
+void Upstreams::room(FetchId id) {
+  auto it = fetches_.find(id);
+  if (it == fetches_.end() || !it->second.conn || !it->second.conn->paused) return;
+  it->second.conn->paused = false;
+  due_.set(due_key(fetch_due, id), it->second.due, now_ + flow_ms);
+  read(*it->second.conn);
+}
+
+void Upstreams::let_flow() {
+  std::vector<Conn*> all;
+  for (auto& [id, c] : conns_)
+    if (c->state == Conn::State::busy && c->head_at > 0 && now_ - c->head_at >= held_ms &&
+        c->answer->body_size() > 0 && written(*c))
+      all.push_back(c.get());
+  for (auto* c : all) begin_answer(*c, fetches_.at(c->fetch));
 }
 
 // Counts a visit's fetch when its last byte has gone out.
 bool Upstreams::flush(Conn& c) {
   bool ok = c.stream.flush();
   auto& f = fetches_.at(c.fetch);
-  if (ok && f.visit && !f.written && c.stream.flushed()) {
+  if (ok && f.visit && f.all_out && !f.written && c.stream.flushed()) {
     f.written = true;
     ++written_;
   }
@@ -294,7 +371,7 @@
     return dial_for_waiting(be);
   }
   if (c.state != Conn::State::busy) return;
-  bool ok = flush(c);
+  bool ok = pump(c);
   read(c);  // what it said before it broke still counts
   if (!ok && c.state == Conn::State::busy) broke(c);
 }
@@ -320,24 +397,76 @@
 
 void Upstreams::read(Conn& c) {
   for (int i = 0; i < reads_a_turn; ++i) {
+    if (!digest(c)) return;
     auto got = c.stream.fill();
     if (got == Stream::Got::nothing) return;
+    if (got == Stream::Got::end && c.answer->until_end()) {
+      c.answer->end();
+      return answered(c);
+    }
     if (got != Stream::Got::bytes) return broke(c);
     server(c.be).heard = now_;
-    while (!c.stream.bytes().empty()) {
-      c.stream.consume(c.answer->feed(c.stream.bytes()));
-      if (c.answer->fault() != protocol::Fault::none) {
-        // Not to be understood: it may have run.
-        auto it = fetches_.find(c.fetch);
-        close(c);
-        return end(it, Status::error);
-      }
-      if (!c.answer->whole()) continue;
-      if (c.answer->status() >= 200) return answered(c);
+  }
+  if (digest(c)) c.stream.again(EPOLLIN);
+}
+
+// Takes what has come of the answer. False: it is over, or there is no room for more just now.
+bool Upstreams::digest(Conn& c) {
+  if (c.state != Conn::State::busy || c.paused) return false;
+  auto id = c.fetch;
+  auto& f = fetches_.at(id);
+  bool came = false;
+  while (!c.stream.bytes().empty()) {
+    auto n = c.answer->feed(c.stream.bytes());
+    came = came || n > 0;
+    c.stream.consume(n);
+    bool whole = c.answer->whole();
+    if (c.answer->fault() != protocol::Fault::none ||
+        (c.answer->full() && !whole && (c.answer->status() != 200 || !f.visit || !written(c)))) {
+      // Not to be understood, or more than an answer like it may hold: it may have run.
+      auto it = fetches_.find(id);
+      bool out = written(c);
+      close(c);
+      end(it, out ? Status::error : Status::unreachable);
+      return false;
+    }
+    if (whole && c.answer->status() < 200) {
       c.answer->reset();
+      continue;
+    }
+    if (c.answer->head_whole() && c.head_at == 0 && f.visit && c.answer->status() == 200 && !f.begun &&
+        !whole) {
+      if (!c.answer->length()) c.head_at = now_;
+      if (c.answer->known_large() && written(c)) begin_answer(c, f);
     }
+    if (whole) {
+      answered(c);
+      return false;
+    }
+    if (c.answer->full()) {
+      if (!f.begun) begin_answer(c, f);
+      c.paused = true;
+      break;
+    }
+    if (c.answer->starved()) {
+      c.stream.again(EPOLLIN);
+      break;
+    }
+  }
+  if (f.begun && came) {
+    due_.set(due_key(fetch_due, id), f.due, c.paused ? DueTimes::none : now_ + flow_ms);
+    endings_.push_back({.what = Ending::more, .fetch = id, .be = f.be});
   }
-  c.stream.again(EPOLLIN);
+  return !c.paused && !c.answer->starved();
+}
+
+// From here on the answer is its client's: what has come goes out, and the rest as it comes.
+void Upstreams::begin_answer(Conn& c, Fetch& f) {
+  f.begun = true;
+  c.head_at = 0;
+  due_.set(due_key(fetch_due, c.fetch), f.due, now_ + flow_ms);
+  endings_.push_back(
+      {.what = Ending::begun, .fetch = c.fetch, .be = f.be, .answer = c.answer, .sent = f.sent});
 }
 
 void Upstreams::answered(Conn& c) {
@@ -345,7 +474,7 @@
   auto answer = std::move(c.answer);
   int code = answer->status();
   // Before its last byte was out no answer can be to it: an upstream begins a visit only then.
-  if (!c.stream.flushed()) {
+  if (!written(c)) {
     close(c);
     return end(it, Status::unreachable);
   }
@@ -366,13 +495,13 @@
 
 void Upstreams::broke(Conn& c) {
   auto it = fetches_.find(c.fetch);
-  bool written = c.stream.flushed();
+  bool out = written(c);
   say_(Level::debug, server(c.be).name + ": a connection broke under a fetch, idle before for " +
                          std::to_string(std::lround(c.rested)) + " ms, fetched for " +
                          std::to_string(std::lround(now_ - it->second.sent)) + " ms");
   close(c);
   // Never run as long as its last byte was not written; after that it may have.
-  end(it, written ? Status::reset : Status::unreachable);
+  end(it, out ? Status::reset : Status::unreachable);
 }
 
 // A connection that has come up, or has settled after a fetch, serves who waits, or rests.
@@ -412,12 +541,15 @@
   conns_.erase(it);
 }
 
-void Upstreams::end(Fetches::iterator it, Status status, std::unique_ptr<Message> answer) {
+void Upstreams::end(Fetches::iterator it, Status status, std::shared_ptr<Message> answer) {
   if (it == fetches_.end()) return;
   auto& [id, f] = *it;
   due_.set(due_key(fetch_due, id), f.due, DueTimes::none);
-  endings_.push_back(
-      {.fetch = id, .be = f.be, .status = status, .answer = std::move(answer), .sent = f.sent});
+  endings_.push_back({.fetch = id,
+                      .be = f.be,
+                      .status = status,
+                      .answer = f.begun ? nullptr : std::move(answer),
+                      .sent = f.sent});
   fetches_.erase(it);
 }
 
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -19,10 +19,16 @@
 using FetchId = std::uint64_t;
 
 struct Ending {
+  enum What : std::uint8_t {
+    ended,  // the fetch
+    begun,  // its answer flows: `flow`, from now on
+    more,   // there is more of that
+    room    // what was held of the visit's body has been passed on
+  } what = ended;
   FetchId fetch = 0;
   int be = -1;
   Status status = Status::error;
-  std::unique_ptr<protocol::Message> answer;  // where a whole one came
+  std::shared_ptr<protocol::Message> answer = {};  // where a whole one came, or one that flows
   double sent = 0;
 };
 
@@ -65,7 +71,15 @@
   void reap(const std::function<bool(int be)>& used);
 
   // `visit` lasts until the fetch has ended. A probe has no visit but a path.
-  void start(FetchId id, int be, const protocol::Message& visit, double limit_ms);
+  // The body of one that is not whole is passed on as it comes; the upstream is told `told_ms` then.
+  void start(FetchId id, int be, protocol::Message& visit, double limit_ms, double told_ms);
+  // More of the visit's body is there; it is whole and the fetch may take so long from now on.
+  void more(FetchId id);
+  void limit(FetchId id, double limit_ms);
+  // What was held of the answer has been passed on.
+  void room(FetchId id);
+  // Answers of unknown length that have begun long enough ago go out as they are. Called now and then.
+  void let_flow();
   void probe(FetchId id, int be, std::string_view path, double limit_ms);
   // No ending follows.
   void abandon(FetchId id);
@@ -100,8 +114,12 @@
   };
   struct Fetch {
     int be = -1;
-    const protocol::Message* visit = nullptr;
-    std::string path;  // of a probe
+    protocol::Message* visit = nullptr;
+    double told = 0;
+    bool flows = false, chunked = false;  // the visit's body
+    bool all_out = true;                  // nothing of the visit is still to be written behind what is queued
+    bool begun = false;                   // its answer flows
+    std::string path;                     // of a probe
     double sent = 0, limit_at = 0, connect_by = 0;
     double due = transport::DueTimes::none;
     Conn* conn = nullptr;  // none while it waits for one
@@ -127,9 +145,13 @@
   void answered(Conn& c);
   void broke(Conn& c);
   bool flush(Conn& c);
+  bool pump(Conn& c);
+  [[nodiscard]] bool written(const Conn& c) const;
+  bool digest(Conn& c);
+  void begin_answer(Conn& c, Fetch& f);
   void free(Conn& c);
   void close(Conn& c);
-  void end(Fetches::iterator it, Status status, std::unique_ptr<protocol::Message> answer = {});
+  void end(Fetches::iterator it, Status status, std::shared_ptr<protocol::Message> answer = {});
   void forsake(int be);
   void close_idle(Server& s);
   void suspect(Server& s, double since);
--- a/src/routing/visits.cpp
+++ b/src/routing/visits.cpp
@@ -49,6 +49,20 @@
   if (it != held_.end()) carry_out(it, brain_.begun(it->second.visit, number, now), now);
 }
 
+double Visits::whole(Job job, double due, double now) {
+  auto it = held_.find(job);
+  if (it == held_.end()) return 0;
+  brain_.whole(it->second.visit, due, now);
+  auto p = brain_.wait(it->second.visit, now);
+  if (!it->second.visit.answered)
+    due_.set(due_key(due_kind, job), it->second.due, p.again == never ? DueTimes::none : now + p.again);
+  return p.limit;
+}
+
+void Visits::spent(Job job) {
+  if (auto it = held_.find(job); it != held_.end()) it->second.visit.spent = true;
+}
+
 void Visits::left(Job job, double now) {
   auto it = held_.find(job);
   if (it == held_.end() || it->second.visit.answered) return;
--- a/src/routing/visits.hpp
+++ b/src/routing/visits.hpp
@@ -41,6 +41,10 @@
   void ended(Job job, const Report& report, double now);
   void begun(Job job, int number, double now);
   void left(Job job, double now);
+  // The body of a visit that arrived while it was coming is whole: how long its fetch may take from now on.
+  double whole(Job job, double due, double now);
+  // Part of its body has been passed on for good.
+  void spent(Job job);
   // A due time of `due_kind` has come.
   void ask_again(Job job, double now);
 
