A body that its client has left is called off, whatever the module calls off

Read again: with limits.cancelling off, a fetch whose client had gone in the middle of its body or its answer kept its connection for good (paused, no due time). Balancer::gone and ::begun call it off now; a client's reset is seen while an answer flows.

--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -344,6 +344,10 @@
                                }),
          {{"visit", static_cast<double>(job)}});
   visits_.left(job, now_);
+  // Whatever the module calls off: a body that nobody sends or takes any more would stay on its way for good.
+  if (auto hand = hands_.find(job);
+      hand != hands_.end() && hand->second.fetch >= 0 && (hand->second.flowing || hand->second.coming))
+    cancel(job, hand->second.fetch);
   clients_.answer(client, 500, "", "");  // for one that still listens
 }
 
@@ -360,7 +364,7 @@
   Job job = e.fetch >> fetch_bits;
   int number = static_cast<int>(e.fetch & ((1 << fetch_bits) - 1));
   ClientId client = 0;
-  if (!client_of(job, client) || !visits_.unanswered(job)) return;
+  if (!client_of(job, client) || !visits_.unanswered(job)) return cancel(job, number);
   hands_.at(job).flowing = true;
   hands_.at(job).fetch = number;
   visits_.begun(job, number, now_);
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -135,6 +135,8 @@
       if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) gone(c);
       break;
     case Conn::State::answering:
+      // Reset; an end of sending alone may be of one that still listens.
+      if (c.answer && events & (EPOLLHUP | EPOLLERR)) return close(c);
       sent(c);
       break;
     case Conn::State::lingering:
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -193,13 +193,21 @@
 }
 
 TEST(Flow, AClientThatLeavesInItsBodyCallsTheFetchOff) {
-  Service s({.upstreams = 1});
+  Service s({.upstreams = 1, .cancelling = false});
   auto client = s.connect();
   auto text = visit("/pay", 9000, noise(200000));
   client.say(text.substr(0, text.size() - 10));
   auto up = s.upstreams[0].open();
   client.close();
   EXPECT_TRUE(up.ended());
+  auto reads = s.connect();
+  reads.say(visit("/pay"));
+  auto other = s.upstreams[0].open();
+  other.hear();
+  other.say("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + noise(1000));
+  reads.some();
+  reads.reset();
+  EXPECT_TRUE(other.ended());
 }
 
 TEST(Flow, ABodyHasAsLongAsItsBytesAreWorth) {
--- a/tests/service.hpp
+++ b/tests/service.hpp
@@ -203,7 +203,8 @@
   std::string leave_ms = "450";  // empty: as it is by itself
   bool own_file = false;         // an operator's file with the upstreams listed, in place of the variables
   std::string listen = "127.0.0.1:0";
-  bool door = false;        // one for operators
+  bool door = false;  // one for operators
+  bool cancelling = true;
   std::string folder = {};  // what lasts over an upgrade
 };
 
@@ -307,7 +308,8 @@
         << R"("stage":0,"stages":["front"],"replicas_of_me":1,"zone":0,"weights":"off","tick_ms":5.0,)"
         << R"("tenants":[{"name":"acme","share":1.0,"quota_rps":1000.0}],)"
         << R"("report":{"columns":["err_ps","load_share"],"how":"inline"},)"
-        << R"("limits":{"cancelling":true,"conn_idle_ms":60000.0,"dial_timeout_ms":5000.0,)"
+        << R"("limits":{"cancelling":)" << (o.cancelling ? "true" : "false")
+        << R"(,"conn_idle_ms":60000.0,"dial_timeout_ms":5000.0,)"
         << R"("max_backend_fetches":3,"most_held":20000,"settle_ms":0.0,"probes":false,"second_copies":false},)"
         << R"("path_prefixes":[)"
         << R"({"name":"pay","repeat":"at_most_once","group":"all","client_timeout_ms":9000.0,"earnings":1.0},)"
