--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -31,6 +31,7 @@
 constexpr double bad_times = 1.5;     // and so many times its peers'
 constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
 constexpr double bench_most_ms = 8000;
+constexpr double lesson_bench_ms = 4 * bench_ms;  // of a server that a successor is told is sick
 constexpr double back_waits_ms = 2000;   // put back by hand, for a visit that may run again to try it
 constexpr double trial_waits_ms = 4000;  // after a bench, for a visit that may run again to try the server
 constexpr double forgiven_ms = 10000;    // well for this long: relapses are forgotten
@@ -884,8 +885,10 @@
     Lessons all;
     if (answers < calm_after) return all;
     each_lesson(*this, [&](const std::string& name, double value) { all[name] = value; });
+    // What a silent one holds is not the successor's, to whom it would look idle: a trial settles it.
     for (int i : listed)
-      if (benched(bes[i], now)) all["bench@" + std::to_string(i)] = bes[i].bench_until;
+      if (benched(bes[i], now) || silent(bes[i], now))
+        all["bench@" + std::to_string(i)] = std::max(bes[i].bench_until, now + lesson_bench_ms);
     return all;
   }
 
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -233,6 +233,19 @@
     EXPECT_TRUE(handover::read_lessons(text.substr(0, n), 3000, 5000).empty()) << n;
 }
 
+TEST(Lessons, ASuccessorIsToldWhichServerIsSilent) {
+  World w({}, 4, 3);
+  for (int i = 0; i < 110; ++i) {
+    int silent = w.sends[2];
+    int id = w.knock(1, 5000);
+    w.pass(40);
+    if (w.sends[2] == silent) w.end(id, 0, Status::delivered);
+  }
+  ASSERT_GT(w.sends[2], 0);
+  EXPECT_GT(w.brain.learned(w.now)["bench@2"], w.now);
+  EXPECT_FALSE(w.brain.learned(w.now).contains("bench@1"));
+}
+
 TEST(Lessons, ASuccessorKnowsTheCalmTimeAndTheBench) {
   World w({}, 4, 3);
   for (int i = 0; i < 200; ++i) {
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -1,4 +1,6 @@
 // Bodies that are too large to be held: parsed in pieces, passed on as they come, both ways.
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <random>
 
@@ -83,6 +85,22 @@
   }
 }
 
+// Whatever comes, in whatever pieces: the same body, or the same refusal.
+TEST(Flow, NoiseIsTheSameHoweverItIsCut) {
+  bool ok = rc::check("flowing messages", [] {
+    auto part = rc::gen::element<std::string>(
+        "POST / HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "Host: b\r\n", "\r\n",
+        "Connection: close\r\n", "Content-Length: 70000\r\n", "Transfer-Encoding: chunked\r\n", "abc",
+        "11170;x=y\r\n", "0\r\n", "T: t\r\n", "\n", std::string(1, '\0'), noise(70000));
+    std::string whole;
+    for (const auto& p : *rc::gen::container<std::vector<std::string>>(part)) whole += p;
+    auto kind = *rc::gen::element(Message::Kind::request, Message::Kind::answer);
+    auto piece = *rc::gen::inRange<std::size_t>(1, 9000);
+    RC_ASSERT(flown(kind, whole, piece) == flown(kind, whole, whole.size() + 1));
+  });
+  EXPECT_TRUE(ok);
+}
+
 TEST(Flow, WaitsWhereThePoolIsOut) {
   Pool pool(3);
   Message m(pool, Message::Kind::request, Message::Body::flowing);
