A server out by hand stays out when lists give it another name

Cause: outs went by name alone, so the same process listed under a new name (same address, same start) was sent to. Now Balancer::is_out knows where those that are out run; ONLINE of the first name undoes it. Test: Hand.AServerOutStaysOutUnderAnotherName.

--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -444,6 +444,21 @@
   list(l.whole ? ListKind::full : ListKind::delta, l);
 }
 
+// Out by its name; or it is a server that is out under another: the same address and the same start.
+bool Balancer::is_out(const protocol::Host& h) {
+  if (outs_.contains(h.name)) {
+    std::erase_if(out_at_, [&](const auto& at) { return at.second.name == h.name; });
+    out_at_[h.dial] = {.name = h.name, .born_ms = h.born_ms};
+    return true;
+  }
+  if (outs_.empty()) return false;
+  auto it = out_at_.find(h.dial);
+  bool same = it != out_at_.end() && it->second.born_ms == h.born_ms && outs_.contains(it->second.name);
+  if (!same) return renamed_.erase(h.name), false;
+  renamed_[h.name] = it->second.name;
+  return true;
+}
+
 void Balancer::list(ListKind kind, const protocol::Listing& listing) {
   entries_.clear();
   std::vector<bool> there(upstreams_.size());
@@ -466,7 +481,8 @@
     if (static_cast<std::size_t>(be) >= there.size()) there.resize(static_cast<std::size_t>(be) + 1);
     there[static_cast<std::size_t>(be)] = true;
     bool active = h.health == protocol::Host::Health::active;
-    if (outs_.contains(h.name)) upstreams_.shut(be, true);
+    bool out = is_out(h);
+    if (out) upstreams_.shut(be, true);
     upstreams_.place(be, h.dial, h.born_ms, active);
     entries_.push_back({.be = be,
                         .zone = place_in(zones_, h.zone),
@@ -476,7 +492,7 @@
                         .standing = active ? Standing::ready : Standing::draining,
                         .weight = h.share,
                         .up_since = h.born_ms,
-                        .shut = outs_.contains(h.name)});
+                        .shut = out});
   }
   if (kind != ListKind::delta)
     for (std::size_t i = 0; i < there.size(); ++i)
@@ -584,6 +600,7 @@
     say_(Level::info, name + (out ? ": taken out by hand" : ": put back by hand"));
     int be = upstreams_.find(name);
     if (be < 0) return;
+    if (out) out_at_[upstreams_.at(be)] = {.name = name, .born_ms = upstreams_.born(be)};
     upstreams_.shut(be, out);
     brain_.shut(be, out, now_);
   };
@@ -591,6 +608,14 @@
     if (!names.contains(name)) put(name, false);
   for (const auto& name : names)
     if (!outs_.contains(name)) put(name, true);
+  for (auto it = renamed_.begin(); it != renamed_.end();)
+    if (names.contains(it->second)) {
+      ++it;
+    } else {
+      put(it->first, false);
+      it = renamed_.erase(it);
+    }
+  std::erase_if(out_at_, [&](const auto& at) { return !names.contains(at.second.name); });
   outs_ = names;
 }
 
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -117,6 +117,7 @@
   void ended(Ending& e);
   void told(protocol::Listing news);
   void list(ListKind kind, const protocol::Listing& listing);
+  bool is_out(const protocol::Host& h);
   void tick();
   void step_down();
 
@@ -154,6 +155,13 @@
   double tick_at_, sweep_at_;
   Settings settings_;
   std::set<std::string> outs_;
+  // Where those that are out run, and the names that lists have given them since.
+  struct Out {
+    std::string name;
+    double born_ms = 0;
+  };
+  std::map<std::string, Out> out_at_;
+  std::map<std::string, std::string> renamed_;
   std::uint64_t reloads_ = 0, reloads_failed_ = 0;
   std::function<void()> each_tick_;
   Phase phase_ = Phase::serving;
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -59,6 +59,7 @@
   // Who is listed at that address; -1: nobody.
   [[nodiscard]] int holder(const std::string& dial) const;
   [[nodiscard]] double born(int be) const { return servers_[static_cast<std::size_t>(be)].born; }
+  [[nodiscard]] const std::string& at(int be) const { return servers_[static_cast<std::size_t>(be)].at; }
   [[nodiscard]] std::size_t size() const { return servers_.size(); }
   [[nodiscard]] const std::string& name(int be) const { return servers_[static_cast<std::size_t>(be)].name; }
   // Where it is dialled and since when it runs. `wanted`: something new may go there.
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -180,6 +180,38 @@
   EXPECT_EQ(s.figure("hosts_down"), 1);
 }
 
+TEST(Hand, AServerOutStaysOutUnderAnotherName) {
+  Service s({.upstreams = 2, .door = true});
+  auto d = s.discovery.open();
+  d.hear();
+  d.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  auto tell = [&](const std::string& line) {
+    std::ostringstream size;
+    size << std::hex << line.size() + 1;
+    d.say(size.str() + "\r\n" + line + "\n\r\n");
+  };
+  EXPECT_EQ(s.call("OFFLINE s0\n"), "ok\n");
+  auto at = s.upstreams[0].address();
+  tell(listing(2, true, {host(7, at), host(1, s.upstreams[1].address())}));
+  while (s.call("ONLINE s7\n") != "ok\n") {  // the list has come
+  }
+  auto client = s.connect();
+  Peer up;
+  for (int i = 0; i < 4; ++i) {
+    client.say(visit("/pay"));
+    if (i == 0) up = s.upstreams[1].open();
+    up.hear();
+    up.say(ok);
+    client.hear();
+  }
+  EXPECT_FALSE(s.upstreams[0].dialled());
+  EXPECT_EQ(s.figure("hosts_down"), 1);
+  EXPECT_EQ(s.call("ONLINE s0\n"), "ok\n");
+  client.say("GET /view HTTP/1.1\r\nHost: b\r\nX-Call-Id: back\r\nX-Budget-Ms: 9000\r\n\r\n");
+  auto back = answered(s.upstreams[0], ok);
+  EXPECT_EQ(status_of(client.hear()), 200);
+}
+
 TEST(Hand, AServerOutStaysOutOverARestartOfTheBalancer) {
   Folder f;
   std::string known;
