A visit whose body flows is never copied beside its first fetch

Cause, found by reading: with limits.second_copies on, Core::where could send a second copy of a tagged or read-like visit while its body was partly passed on; Visit::spent was told only when a fetch ended, so the copy would have carried the rest of the body under a length of its own. Change: Visit::large rules copies out in copies() and permitted(); Upstreams::start refuses a spent message. Test: Flow.AVisitWhoseBodyFlowsHasNoSecondCopy (a small visit is copied, a large one is not).

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -429,7 +429,7 @@
   bool permitted(const Visit& v, int i, double now) {
     const auto& be = bes[i];
     if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
-    if (v.spent && v.sent > 0) return false;
+    if (v.sent > 0 && (v.spent || (v.large && v.out > 0))) return false;
     // The last fetch was given up for want of time: another would put off the final answer past the due time.
     if (v.sent > 0 && now >= v.due - last_ticks * wire_tick) return false;
     if (be.standing != Standing::ready || be.shut) return false;
@@ -791,7 +791,7 @@
   }
 
   [[nodiscard]] bool copies(const Visit& v) {
-    return second_copies && v.sent < 2 && prefix(v).repeat != Repeat::mutating;
+    return second_copies && v.sent < 2 && !v.large && prefix(v).repeat != Repeat::mutating;
   }
 
   // --- News -----------------------------------------------------------------------------------------------
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -73,8 +73,9 @@
   bool streaming = false;  // the answer has begun; the client owns it
   bool extra = false;      // beyond its tenant's share
 
-  // The caller's again: its body is still coming; part of it is gone and can't be sent once more.
-  bool coming = false, spent = false;
+  // The caller's again: its body is more than is held at a time, so that no second copy can be sent beside
+  // the first; it is still coming; part of it is gone and can't be sent once more.
+  bool large = false, coming = false, spent = false;
 };
 
 struct Report {
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -289,6 +289,7 @@
           .arrived = now_,
           .due = now_ + (coming ? most_coming_ms : budget - own_delay_ms),
           .repeat = m.find(names::again) == "1",
+          .large = coming,
           .coming = coming};
   auto job = next_job_++;
   open_.insert(m.find(names::id));
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -168,6 +168,11 @@
 }
 
 void Upstreams::start(FetchId id, int be, Message& visit, double limit_ms, double told_ms) {
+  // What has been passed on of a body is gone: the rest alone must not reach anybody as a visit.
+  if (visit.spent()) {
+    endings_.push_back({.fetch = id, .be = be, .status = Status::unreachable, .sent = now_});
+    return;
+  }
   bool flows = !visit.whole();
   begin(id, {.be = be,
              .visit = &visit,
--- a/tests/flow_test.cpp
+++ b/tests/flow_test.cpp
@@ -6,6 +6,7 @@
 
 #include "protocol/http.hpp"
 #include "service.hpp"
+#include "world.hpp"
 
 namespace meadow::test {
 namespace {
@@ -210,6 +211,23 @@
   EXPECT_FALSE(s.upstreams[static_cast<std::size_t>(1 - first)].dialled());
 }
 
+// A second copy beside the first would carry what is left of the body.
+TEST(Flow, AVisitWhoseBodyFlowsHasNoSecondCopy) {
+  for (bool large : {false, true}) {
+    World w({}, 4, 3);
+    for (int i = 0; i < 60; ++i) w.end(w.knock(0, 5000), 0, Status::delivered);
+    Visit v{.prefix = 0, .arrived = w.now, .due = w.now + 5000, .large = large};
+    ASSERT_EQ(w.brain.where(v, w.now).kind, Answer::fetch);
+    EXPECT_EQ(w.brain.wait(v, w.now).again == never, large);
+    for (int i = 0; i < 20; ++i) {  // its server falls silent while others answer
+      w.pass(100);
+      for (int n = 0; n < 4; ++n) w.end(w.knock(0, 5000), 0, Status::delivered);
+      w.brain.where(v, w.now);
+    }
+    EXPECT_EQ(v.sent, large ? 1 : 2);
+  }
+}
+
 TEST(Flow, AClientThatLeavesInItsBodyCallsTheFetchOff) {
   Service s({.upstreams = 1, .cancelling = false});
   auto client = s.connect();
