In a crowd who makes no progress goes first, and a closing listener empties its queue

Cause, found by reading the issue against the code: a first visit begun was shed by when it began, so a client that takes 2 s to write went before those that never finish; a listener that closed at the bound reset what waited; a drip-fed body had its 408 up to 3.3 s after connecting (2.9 s now); a visit of an HTTP/1.0 client went on without a Host. Change: Clients::read, stop_accepting, accept_all; request_head. Tests: ASlowClientOutlastsAFloodOfHalfVisits, AVisitOfAnOlderClientGoesOnWithAHost.

--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -333,6 +333,7 @@
   head.append(visit.method()).append(" ").append(visit.target()).append(" HTTP/1.1\r\n");
   for (const auto& f : visit.fields())
     if (visit.passes_on(f) && !same_word(f.name, names::budget)) add_field(head, f.name, f.value);
+  if (visit.count("Host") == 0) add_field(head, "Host", "");  // an older client need not name one
   add_field(head, names::budget, std::to_string(std::max(0L, std::lround(std::floor(wait_ms)))));
   return head;
 }
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -18,7 +18,7 @@
 // longer is fed drop by drop, or silent, and holds a descriptor that others wait for.
 constexpr double whole_ms = 2500;
 // From the head on, and as long as its body takes at this rate: half of what a slow line brings.
-constexpr double body_ms = 800, body_bytes_a_ms = 32;
+constexpr double body_ms = 800, body_late_ms = 400, body_bytes_a_ms = 32;
 // Of an answer that flows, so much is on its way out at a time.
 constexpr std::size_t most_out = 32 * 1024;
 // An answer that is not taken for this long ends the connection.
@@ -29,7 +29,7 @@
 constexpr std::size_t linger_bytes = 256 * 1024;
 // The same for one that was answered while its body came.
 constexpr double linger_body_ms = 10000;
-// Not shed for this long after connecting, and after a first visit has begun.
+// Not shed for this long after connecting, and after the last bytes of a first visit.
 constexpr double fresh_ms = 25, midway_ms = 100;
 constexpr int most_looks = 16;  // at sockets, for one that can be shed
 }  // namespace
@@ -98,7 +98,10 @@
     auto fd = listener_.accept(full);
     if (!fd && full && shed(Need::room)) continue;
     starved_ = full;
-    if (!fd) return;
+    if (!fd) {
+      if (stopping_ && !starved_) listener_.close();
+      return;
+    }
     auto id = next_++;
     auto& c = *conns_.emplace(id, std::make_unique<Conn>(*this, id, std::move(fd))).first->second;
     allow(c, whole_ms);
@@ -164,19 +167,19 @@
     while (!c.stream.bytes().empty()) {
       if (!c.request)
         c.request = std::make_shared<Message>(pool_, Message::Kind::request, Message::Body::flowing);
-      if (!c.request->started()) {
-        if (c.proven) {
-          keep(c);
-          allow(c, whole_ms);
-        } else {
-          spare(c, Spare::midway);
-        }
+      if (!c.proven) {
+        // By the time without progress: a slow client's bytes go on coming, those of one that never ends do
+        // not.
+        spare(c, Spare::midway);
+      } else if (!c.request->started()) {
+        keep(c);
+        allow(c, whole_ms);
       }
       bool head = c.request->head_whole();
       bool on = fed(c);
       if (c.request->fault() != Fault::none) return refuse(c, static_cast<int>(c.request->fault()));
       if (!head && c.request->head_whole() && !c.request->whole())
-        c.head_due = std::max(c.due, now_ + body_ms);
+        c.head_due = std::max(c.due, std::min(now_ + body_ms, c.due + body_late_ms));
       if (c.request->whole() || c.request->full()) return called(c);
       if (!on) return c.stream.again(EPOLLIN);
     }
@@ -461,9 +464,10 @@
   }
 }
 
+// What has come before the end is taken: in a crowd that lasts until there is room.
 void Clients::stop_accepting() {
-  accept_all();  // what has come before the end is taken
-  listener_.close();
+  stopping_ = true;
+  accept_all();
 }
 
 void Clients::wind_up() {
--- a/src/routing/clients.hpp
+++ b/src/routing/clients.hpp
@@ -118,7 +118,7 @@
   Tally& tally_;
   transport::Listener listener_;
   bool starved_ = false;  // connections may wait that there was no descriptor for
-  bool winding_up_ = false;
+  bool winding_up_ = false, stopping_ = false;
   static constexpr ClientId nobody = 0;
   double starved_due_ = transport::DueTimes::none;
   ClientId next_ = nobody + 1;
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -159,6 +159,15 @@
             "HTTP/1.1 200 OK\r\nContent-Type: t\r\nConnection: close\r\nContent-Length: 1\r\n\r\nz");
 }
 
+TEST(Http, AVisitOfAnOlderClientGoesOnWithAHost) {
+  Pool pool(8);
+  Message m(pool, Message::Kind::request);
+  m.feed("GET /v HTTP/1.0\r\nX-Call-Id: 7\r\n\r\n");
+  transport::Chain out(pool);
+  EXPECT_TRUE(write_request(out, m, 5));
+  EXPECT_EQ(out.front(), "GET /v HTTP/1.1\r\nX-Call-Id: 7\r\nHost: \r\nX-Budget-Ms: 5\r\n\r\n");
+}
+
 TEST(Http, AnAnswerToHeadKeepsTheLengthItNames) {
   Pool pool(8);
   Message a(pool, Message::Kind::answer);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -296,6 +296,22 @@
   EXPECT_TRUE(halves.back().quiet());
 }
 
+// Of those that have begun a visit, who makes no progress goes first, not who began first.
+TEST(Service, ASlowClientOutlastsAFloodOfHalfVisits) {
+  Service s({.upstreams = 1, .sockets = 48});
+  auto slow = s.connect();
+  auto text = visit("/pay");
+  std::vector<Peer> halves;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    slow.say(text.substr(i, 1));
+    halves.push_back(s.connect());
+    halves.back().say("POST /pay HT");
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  auto up = answered(s.upstreams[0], ok);
+  EXPECT_EQ(status_of(slow.hear()), 200);
+}
+
 TEST(Service, AClientThatAsksForIsToldToContinue) {
   Service s({.upstreams = 1});
   auto client = s.connect();
