When to give way is decided by values alone; the door comes before the clients' listener

Cause, found by reading: Office decided and carried out in one place; the door had a second copy of a stream; a process whose door could not be opened had already taken connections; two balancers of one name sharing a folder would have taken each other for an upgrade; one told to end before it served went on for seconds; what was out under other names grew and sat in routing/balancer. Change: handover/relief and routing/by_hand are values, Door uses transport::Stream with a pool of its own, the files go by name and address and are not followed through links. Tests: Relief (each row of the table), two upgrades in a row with reloads and descriptors summed, an old process killed first, a new one ended before it serves.

--- a/src/handover/place.cpp
+++ b/src/handover/place.cpp
@@ -42,7 +42,7 @@
 
 Lock Place::lock() const {
   if (!there()) return {};
-  Lock l(open(file("lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  Lock l(open(file("lock").c_str(), O_RDWR | O_CREAT | O_NOFOLLOW | O_CLOEXEC, 0600));
   while (l && flock(l.get(), LOCK_EX) != 0)
     if (errno != EINTR) return {};
   return l;
@@ -50,7 +50,7 @@
 
 bool Place::write(std::string_view what, std::string_view text) const {
   auto fresh = file(what) + ".new";
-  transport::Fd fd(open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600));
+  transport::Fd fd(open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_NOFOLLOW | O_CLOEXEC, 0600));
   if (!fd) return false;
   while (!text.empty()) {
     auto n = ::write(fd.get(), text.data(), text.size());
@@ -64,7 +64,7 @@
 
 std::string Place::read(std::string_view what) const {
   std::string text;
-  transport::Fd fd(there() ? open(file(what).c_str(), O_RDONLY | O_CLOEXEC) : -1);
+  transport::Fd fd(there() ? open(file(what).c_str(), O_RDONLY | O_NOFOLLOW | O_CLOEXEC) : -1);
   char bytes[4096];
   while (fd && text.size() < longest_file) {
     auto n = ::read(fd.get(), bytes, sizeof bytes);
--- a/src/handover/seats.cpp
+++ b/src/handover/seats.cpp
@@ -22,7 +22,7 @@
   long last = 0;
   for (long n : numbers()) last = std::max(last, n);
   auto name = place_.file(std::string(kind) + std::to_string(last + 1));
-  held_ = Lock(open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  held_ = Lock(open(name.c_str(), O_RDWR | O_CREAT | O_NOFOLLOW | O_CLOEXEC, 0600));
   if (held_ && flock(held_.get(), LOCK_EX | LOCK_NB) != 0) held_.close();
   if (held_) mine_ = last + 1;
 }
@@ -46,13 +46,13 @@
   return all;
 }
 
-Seats::Others Seats::look() {
+Others Seats::look() {
   Others o;
   if (!held_) return o;
   for (long n : numbers()) {
     if (n == mine_) continue;
     auto name = place_.file(std::string(kind) + std::to_string(n));
-    Lock seat(open(name.c_str(), O_RDONLY | O_CLOEXEC));
+    Lock seat(open(name.c_str(), O_RDONLY | O_NOFOLLOW | O_CLOEXEC));
     if (!seat) continue;
     if (flock(seat.get(), LOCK_SH | LOCK_NB) == 0) {
       unlink(name.c_str());
--- a/src/handover/seats.hpp
+++ b/src/handover/seats.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "handover/place.hpp"
+#include "handover/relief.hpp"
 
 namespace meadow::handover {
 
@@ -17,11 +18,6 @@
   Seats(const Seats&) = delete;
   Seats& operator=(const Seats&) = delete;
 
-  struct Others {
-    int older = 0, newer = 0;
-    bool newer_serves = false;
-    [[nodiscard]] int all() const { return older + newer; }
-  };
   // Looks anew; seats whose process has gone are cleared away.
   Others look();
   // This process serves: others may see it.
--- a/src/management/door.hpp
+++ b/src/management/door.hpp
@@ -9,6 +9,7 @@
 #include "management/calls.hpp"
 #include "transport/clock.hpp"
 #include "transport/listener.hpp"
+#include "transport/stream.hpp"
 
 namespace meadow::management {
 
@@ -44,15 +45,15 @@
  private:
   struct Caller;
   void ready(std::uint32_t events) override;
-  void ready(Caller& c, std::uint32_t events);
-  void heard(Caller& c, std::string_view line);
-  void say(Caller& c, std::string text);
+  void read(Caller& c);
+  [[nodiscard]] std::string answer(Caller& c, std::string_view line);
   void flush(Caller& c);
   void close(Caller& c);
 
   transport::Loop& loop_;
   Desk& desk_;
   transport::Clock clock_;
+  transport::Pool pool_;  // its own: clients can't take from it
   transport::Listener listener_;
   std::uint64_t next_ = 1;
   std::unordered_map<std::uint64_t, std::unique_ptr<Caller>> callers_;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -61,9 +61,10 @@
   };
   std::optional<Shift> shift;
   if (setup.mgmt) {
-    shift.emplace(variable("TMPDIR").value_or(""), setup.name);
+    // Other balancers may share the folder, and even the name.
+    shift.emplace(variable("TMPDIR").value_or(""), setup.name + "@" + setup.listen.text());
     setup.shared = shift->place.there();
-    setup.later = shift->relieves();
+    setup.later = true;  // the door comes first: a process that can't open it serves nobody
   }
   std::optional<Office> office;
   Signals signals(
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -445,21 +445,6 @@
   list(l.whole ? ListKind::full : ListKind::delta, l);
 }
 
-// Out by its name; or it is a server that is out under another: the same address and the same start.
-bool Balancer::is_out(const protocol::Host& h) {
-  if (outs_.contains(h.name)) {
-    std::erase_if(out_at_, [&](const auto& at) { return at.second.name == h.name; });
-    out_at_[h.dial] = {.name = h.name, .born_ms = h.born_ms};
-    return true;
-  }
-  if (outs_.empty()) return false;
-  auto it = out_at_.find(h.dial);
-  bool same = it != out_at_.end() && it->second.born_ms == h.born_ms && outs_.contains(it->second.name);
-  if (!same) return renamed_.erase(h.name), false;
-  renamed_[h.name] = it->second.name;
-  return true;
-}
-
 void Balancer::list(ListKind kind, const protocol::Listing& listing) {
   entries_.clear();
   std::vector<bool> there(upstreams_.size());
@@ -482,7 +467,7 @@
     if (static_cast<std::size_t>(be) >= there.size()) there.resize(static_cast<std::size_t>(be) + 1);
     there[static_cast<std::size_t>(be)] = true;
     bool active = h.health == protocol::Host::Health::active;
-    bool out = is_out(h);
+    bool out = by_hand_.is_out(h);
     if (out) upstreams_.shut(be, true);
     upstreams_.place(be, h.dial, h.born_ms, active);
     entries_.push_back({.be = be,
@@ -518,6 +503,7 @@
   if (now_ < sweep_at_) return;
   sweep_at_ = now_ + sweep_every_ms;
   upstreams_.reap([this](int be) { return visits_.uses(be); });
+  by_hand_.forget([this](const std::string& name) { return lists(name); });
   pool_.trim();
 }
 
@@ -597,27 +583,18 @@
 }
 
 void Balancer::take_out(const std::set<std::string>& names) {
-  auto put = [this](const std::string& name, bool out) {
-    say_(Level::info, name + (out ? ": taken out by hand" : ": put back by hand"));
+  auto where = [this](const std::string& name) -> std::optional<ByHand::Where> {
     int be = upstreams_.find(name);
-    if (be < 0) return;
-    if (out) out_at_[upstreams_.at(be)] = {.name = name, .born_ms = upstreams_.born(be)};
-    upstreams_.shut(be, out);
-    brain_.shut(be, out, now_);
+    if (be < 0) return {};
+    return ByHand::Where{.dial = upstreams_.at(be), .born_ms = upstreams_.born(be)};
   };
-  for (const auto& name : outs_)
-    if (!names.contains(name)) put(name, false);
-  for (const auto& name : names)
-    if (!outs_.contains(name)) put(name, true);
-  for (auto it = renamed_.begin(); it != renamed_.end();)
-    if (names.contains(it->second)) {
-      ++it;
-    } else {
-      put(it->first, false);
-      it = renamed_.erase(it);
-    }
-  std::erase_if(out_at_, [&](const auto& at) { return !names.contains(at.second.name); });
-  outs_ = names;
+  for (const auto& c : by_hand_.set(names, where)) {
+    say_(Level::info, c.name + (c.out ? ": taken out by hand" : ": put back by hand"));
+    int be = upstreams_.find(c.name);
+    if (be < 0) continue;
+    upstreams_.shut(be, c.out);
+    brain_.shut(be, c.out, now_);
+  }
 }
 
 void Balancer::reload(const Setup& setup) {
@@ -637,6 +614,11 @@
 
 void Balancer::wind_up() {
   if (phase_ != Phase::serving) return;
+  if (!clients_.listening() && !given_over_) {
+    say_(Level::info, "ending: it has not served yet");
+    phase_ = Phase::over;
+    return;
+  }
   say_(Level::info, given_over_ ? "ending: another process has taken over" : "ending: serves on for a while");
   phase_ = Phase::leaving;
   // Clients go on using what they have open, and the front may have nobody else for them: to close early
@@ -645,10 +627,10 @@
   over_at_ = now_ + std::min(longest_timeout_, over_most_ms) + over_after_ms;
 }
 
-void Balancer::listen(std::uint32_t others) {
-  if (clients_.listening()) return;
-  clients_.listen();
-  if (others > 0 && !clients_.steer(others))
+void Balancer::listen() { clients_.listen(); }
+
+void Balancer::steer(int others) {
+  if (!clients_.steer(static_cast<std::uint32_t>(others)))
     say_(Level::info, "new connections are dealt out between this process and the one before it");
 }
 
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -13,6 +13,7 @@
 
 #include "brain/brain.hpp"
 #include "protocol/discovery.hpp"
+#include "routing/by_hand.hpp"
 #include "routing/clients.hpp"
 #include "routing/discovery_client.hpp"
 #include "routing/figures.hpp"
@@ -59,8 +60,10 @@
   [[nodiscard]] bool ready() const { return phase_ == Phase::serving && clients_.listening(); }
   // Discovery has been heard since the start, or there is none.
   [[nodiscard]] bool heard() const { return heard_; }
-  // Listens from now on; new connections come here rather than to `others` that listen beside it.
-  void listen(std::uint32_t others);
+  // Listens from now on.
+  void listen();
+  // New connections come here rather than to `others` that listen beside it and began earlier.
+  void steer(int others);
   // This part of the limits is its own from now on.
   void keep_to(double part);
   // A successor takes the new connections; what is open here ends with its next answer.
@@ -117,7 +120,6 @@
   void ended(Ending& e);
   void told(protocol::Listing news);
   void list(ListKind kind, const protocol::Listing& listing);
-  bool is_out(const protocol::Host& h);
   void tick();
   void step_down();
 
@@ -154,14 +156,7 @@
   std::vector<Entry> entries_;
   double tick_at_, sweep_at_;
   Settings settings_;
-  std::set<std::string> outs_;
-  // Where those that are out run, and the names that lists have given them since.
-  struct Out {
-    std::string name;
-    double born_ms = 0;
-  };
-  std::map<std::string, Out> out_at_;
-  std::map<std::string, std::string> renamed_;
+  ByHand by_hand_;
   std::uint64_t reloads_ = 0, reloads_failed_ = 0;
   std::function<void()> each_tick_;
   Phase phase_ = Phase::serving;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -7,11 +7,11 @@
 
 namespace meadow::transport {
 
-Stream::Stream(Loop& loop, Pool& pool, Fd fd, Ready& owner)
+Stream::Stream(Loop& loop, Pool& pool, Fd fd, Ready& owner, bool first)
     : loop_(&loop),
       pool_(&pool),
       fd_(std::move(fd)),
-      token_(loop.add(fd_.get(), owner, EPOLLIN | EPOLLOUT | EPOLLRDHUP)),
+      token_(loop.add(fd_.get(), owner, EPOLLIN | EPOLLOUT | EPOLLRDHUP, first)),
       out_(pool) {
   int on = 1;
   setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -12,7 +12,8 @@
   enum class Got : std::uint8_t { bytes, nothing, end, broken };
 
   // An accepted connection, or one that is being dialled.
-  Stream(Loop& loop, Pool& pool, Fd fd, Ready& owner);
+  // `first`: its owner is told before others of a batch.
+  Stream(Loop& loop, Pool& pool, Fd fd, Ready& owner, bool first = false);
   ~Stream();
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
