Where only probes tell load, each visit looks at five servers before it goes

Probes' gauges were thrown away in probed(). Now a visit asks five servers by probe, waits some two ticks, goes to the one that holds least, and is turned away when what that one holds can't be done by the target latency (hints of work read). A cold server seen idle may get one.

Sites whose reports are not on_probe run as before.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -111,6 +111,14 @@
 constexpr double usual_gain = 0.05;
 constexpr double look_most_ms = 2000;  // older looks count for nothing
 
+// Where only probes tell what a server holds, each visit has a few looked at before it goes.
+constexpr int looks_each = 5;
+constexpr double look_waits = 2;    // times a probe's usual time
+constexpr double look_fresh = 5;    // the same, for how long a look holds
+constexpr double far_load = 0.1;    // of a visit: the own zone's servers go first among equals
+constexpr double pace_gain = 0.02;
+constexpr double pace_least = 0.5, pace_most = 2;
+
 // The list.
 constexpr double tick_ms = 100;
 constexpr double ask_first_ms = 400;
@@ -197,7 +205,8 @@
     if (prefixes.empty()) prefixes.emplace_back();
     max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
     read_reports();
-    probing = word("limits.probes") == "true" && column < 0;
+    probing = word("limits.probes") == "true" && column < 0 && look_column < 0;
+    probe_took = wire_tick = number("tick_ms", 5);
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
     if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
@@ -209,7 +218,6 @@
     near_full = near_times * room_floor * tiers / of_zone;
     others_here = std::max(0.0, 1 - 1 / of_zone);
     spill = beyond = spill_least / std::clamp(of_zone, 1.0, spill_over);
-    wire_tick = number("tick_ms", 5);
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
     overload_factor = number("rules.overload_factor", 2);
@@ -241,6 +249,10 @@
   // Load reports in answers: the visits a server holds tell most, else how busy it is.
   void read_reports() {
     auto columns = word("report.columns");
+    if (word("report.how") == "on_probe" && word("limits.probes") == "true")
+      for (std::string_view name : {"concurrent", "depth"})
+        if (auto at = columns.find(name); look_column < 0 && at != columns.npos)
+          look_column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
     if (word("report.how") != "inline") return;
     for (std::string_view name : {"concurrent", "load_share"})
       if (auto at = columns.find(name); column < 0 && at != columns.npos) {
@@ -425,6 +437,21 @@
     return warm_ready == 0 && be.out == 0 && now - be.failed_at > cold_pause_ms;
   }
 
+  [[nodiscard]] bool fresh_look(const Be& be, double now) const {
+    return look_column >= 0 && now - be.looked_at <= wire_tick + look_fresh * probe_took;
+  }
+
+  // The same where a fresh look says that no balancer has anything there.
+  [[nodiscard]] bool seen_idle(const Be& be, double now) const {
+    return fresh_look(be, now) && be.load < 0.5 && be.out == 0 && now - be.failed_at > cold_pause_ms;
+  }
+
+  // What a server does of its full work now, at the least.
+  [[nodiscard]] double grown(const Be& be, double now) const {
+    if (!cold(be, now)) return 1;
+    return cold_share + (1 - cold_share) * std::clamp((now - be.up_since) / warm_ms, 0.0, 1.0);
+  }
+
   // --- Rules: every send passes permitted(), every own final answer passes finish() -----------------------
   bool permitted(const Visit& v, int i, double now) {
     const auto& be = bes[i];
@@ -433,7 +460,7 @@
     // The last fetch was given up for want of time: another would put off the final answer past the due time.
     if (v.sent > 0 && now >= v.due - last_ticks * wire_tick) return false;
     if (be.standing != Standing::ready || be.shut) return false;
-    if (cold(be, now) && be.tokens < 1 && !alone(be, now)) return false;
+    if (cold(be, now) && be.tokens < 1 && !alone(be, now) && !seen_idle(be, now)) return false;
     const auto& p = prefix(v);
     for (int n = 0; n < v.sent; ++n) {
       const auto& f = v.fetches[n];
@@ -500,11 +527,8 @@
       else if (permitted(v, i, now))
         candidates.push_back(i);
     }
-    if (stage == 0 && v.sent == 0) {
-      bool full = !room(v, ready);
-      turned_away += calm_gain * (full - turned_away);
-      if (full) return -1;
-    }
+    bool asks_room = stage == 0 && v.sent == 0;
+    if (asks_room && look_column < 0 && crowded_out(!room(v, ready))) return -1;
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used. What a
     // rule keeps from a visit is not sick: with most servers new and cold, the quick failers were used again.
     if (candidates.empty() || sick > (1 - panic_share) * (ready - v.sent)) {
@@ -515,6 +539,10 @@
     }
     for (int i : candidates)
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
+    if (look_column >= 0) {
+      int i = seen_least(now);
+      if (i >= 0) return asks_room && crowded_out(too_late(v, bes[i], now)) ? -1 : i;
+    }
     if (crossing_costs && uniform() >= spill) {
       auto far = [this](int i) { return bes[i].zone != zone; };
       // Reports tell of a zone with more traffic than servers a second late, and by then its servers were
@@ -542,6 +570,54 @@
     return (held(b) + 1) * pull(bes[a]) < (held(a) + 1) * pull(bes[b]) ? b : a;
   }
 
+  bool crowded_out(bool full) {
+    turned_away += calm_gain * (full - turned_away);
+    return full;
+  }
+
+  // The time a visit would take behind what a look found.
+  [[nodiscard]] double expected(const Visit& v, const Be& be, double now) const {
+    return pace * (be.load * mean_work + (v.work > 0 ? v.work : mean_work)) / grown(be, now);
+  }
+
+  // An answer after the target latency earns nothing and keeps others waiting.
+  [[nodiscard]] bool too_late(const Visit& v, const Be& be, double now) {
+    double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
+    double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
+    return expected(v, be, now) > part * prefix(v).target;
+  }
+
+  // The one of the servers just looked at that is done soonest; by chance among equals.
+  int seen_least(double now) {
+    int least = -1, equal = 0;
+    double cost = never;
+    for (int i : candidates) {
+      const auto& be = bes[i];
+      if (!fresh_look(be, now)) continue;
+      double c = (be.load + 1) / grown(be, now) + (crossing_costs && be.zone != zone ? far_load : 0);
+      if (c < cost) least = i, cost = c, equal = 0;
+      if (c == cost && uniform() * ++equal < 1) least = i;
+    }
+    return least;
+  }
+
+  // Which servers to look at for this visit: any that may get it, drawn anew for each.
+  bool ask_looks(Visit& v, Answer& a, double now) {
+    if (look_column < 0 || v.looked_for > v.sent || listed.empty()) return false;
+    if (now + 2 * look_wait() >= v.due) return false;
+    v.looked_for = v.sent + 1;
+    for (int n = 0; n < 3 * looks_each && a.looks < looks_each; ++n) {
+      int i = listed[rng() % listed.size()];
+      const auto& be = bes[i];
+      auto end = a.look.begin() + a.looks;
+      if (!open(be) || !usable(be, now) || tried(v, i) || std::find(a.look.begin(), end, i) != end) continue;
+      a.look[a.looks++] = i;
+    }
+    if (a.looks > 0) a.kind = Answer::later;
+    return a.looks > 0;
+  }
+  [[nodiscard]] double look_wait() const { return wire_tick + look_waits * probe_took; }
+
   // A part of under one visit is full with a single one, which then says little of what the zone holds. By
   // the share of its instances that are not this one, a second one goes to each near server while answers
   // tell of a zone that is neither busy nor busier than the others. Without that bound servers choked by the
@@ -584,7 +660,15 @@
       usual_load = load;
   }
 
-  void probed(int i, Status status, double took, double now) {
+  void probed(int i, Status status, double took, const Gauge& gauge, double now) {
+    if (look_column >= 0 && i >= 0 && i < static_cast<int>(bes.size())) {
+      auto& be = bes[i];
+      bool told = status == Status::delivered && look_column < gauge.n && gauge.v[look_column] >= 0;
+      be.load = told ? gauge.v[look_column] : never;
+      be.looked_at = now;
+      if (told) probe_took += pace_gain * (took - probe_took);
+      return;
+    }
     if (i >= 0 && i < static_cast<int>(bes.size()) && column < 0)
       look(bes[i], status == Status::delivered ? std::max(took, 0.01) : never, now);
   }
@@ -634,8 +718,7 @@
 
   // A cold server's share of this instance's sends: what a warm one is seen to deliver, scaled down.
   void refill(Be& be, double now) {
-    double grown = cold_share + (1 - cold_share) * std::clamp((now - be.up_since) / warm_ms, 0.0, 1.0);
-    double per_ms = warm_rate * overload_factor * grown * cold_safety;
+    double per_ms = warm_rate * overload_factor * grown(be, now) * cold_safety;
     be.tokens = std::min(cold_burst, be.tokens + per_ms * (now - be.tokens_at));
     be.tokens_at = now;
   }
@@ -673,9 +756,15 @@
 
   Answer send(Visit& v, int i, double now) {
     auto& be = bes[i];
-    if (cold(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
-    be.looked_at = be.back_at = -never;
-    v.fetches[v.sent++] = {.be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true};
+    if (cold(be, now) && !seen_idle(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
+    float time = fresh_look(be, now) ? static_cast<float>(expected(v, be, now)) : 0;
+    if (look_column < 0)
+      be.looked_at = -never;
+    else
+      be.load += 1;
+    be.back_at = -never;
+    v.fetches[v.sent++] = {
+        .be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true, .expected = time};
     ++v.out;
     // Its server has nothing to do while a body is still coming, and may be silent all that time.
     if (!v.coming) hold(v.fetches[v.sent - 1], now);
@@ -694,6 +783,7 @@
       v.admitted = true;
       retries = std::min(retry_burst, retries + retry_share);
       tally(v, now);
+      if (v.work > 0) blend(mean_work, v.work, pace_gain);
       if (throttled(v, now)) return finish(v, now);
     } else if (v.out > 0) {
       // A visit that takes long mostly is much work, which a copy would do twice; only one whose server has
@@ -707,6 +797,7 @@
       retries -= 1;
       return send(v, i, now);
     }
+    if (Answer a; ask_looks(v, a, now)) return a;
     int i = pick(v, now);
     return i >= 0 ? send(v, i, now) : finish(v, now);
   }
@@ -735,6 +826,7 @@
     // were bounced.
     bool unreached = rt.status == Status::unreachable;
     if (unreached || again(rt.status, now)) {
+      if (ask_looks(v, a, now)) return a;
       int i = pick(v, now);
       if (i >= 0) {
         if (!unreached) retries -= 1;
@@ -768,6 +860,9 @@
       double step = std::max(1.0, slow_end * 0.02);
       slow_end = slow_end == 0 ? took * 2 : std::max(1.0, slow_end + (took > slow_end ? step * 19 : -step));
       be.rate += 1;
+      if (mean_work == 0) mean_work = took;
+      if (f.expected > 0)
+        pace = std::clamp(pace * (1 + pace_gain * (took / f.expected - 1)), pace_least, pace_most);
       // What ends early on was quick, for the long ones are still out: such times say nothing yet.
       if (now - started > p.target) {
         double gain = std::max(calm_gain, 1.0 / ++answers);
@@ -786,7 +881,8 @@
   Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
-    if (copies(v) && v.out == v.sent) p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
+    if (v.out == 0) p.again = look_wait();
+    if (copies(v) && v.out == v.sent && v.out > 0) p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
     return p;
   }
 
@@ -984,7 +1080,9 @@
 
   bool some_run_again = false;  // among the path prefixes
   bool probing = false, counts_visits = false;
-  int column = -1;  // of the load reports, where answers carry them
+  int column = -1;       // of the load reports, where answers carry them
+  int look_column = -1;  // of those that only probes bring
+  double probe_took = 0, mean_work = 0, pace = 1;
   double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, near_told = -never, far_told = -never, mean_out = 0,
          timely = 1;
@@ -1029,8 +1127,8 @@
 void Brain::list(ListKind kind, std::span<const Entry> entries, double now) {
   core_->list(kind, entries, now);
 }
-void Brain::probed(int be, Status status, double took, const Gauge&, double now) {
-  core_->probed(be, status, took, now);
+void Brain::probed(int be, Status status, double took, const Gauge& gauge, double now) {
+  core_->probed(be, status, took, gauge, now);
 }
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -14,6 +14,7 @@
 
 inline constexpr double never = std::numeric_limits<double>::infinity();
 inline constexpr int most_fetches = 8;  // a visit's fetches that are kept in hand
+inline constexpr int most_looks = 8;    // probes asked for at once on a visit's account
 
 // Names to values, as handed over at the start. The module picks what it needs.
 using Settings = std::map<std::string, std::string, std::less<>>;
@@ -53,6 +54,7 @@
   int held = 0;                       // the module's fetches out, this one among them
   bool out = false;
   bool counted = false;  // among those that its server holds
+  float expected = 0;    // the time it was thought to take; 0: nothing was known
   double begun = 0;      // its answer's first bytes; 0: none yet
 };
 
@@ -64,6 +66,8 @@
   double arrived = 0;
   double due = 0;  // the client stops waiting then
   bool repeat = false;
+  double work = 0;        // a hint of what it costs, in ms; 0: none
+  std::uint64_t key = 0;  // what it is about; 0: none
 
   std::array<Fetch, most_fetches> fetches{};
   int sent = 0;
@@ -72,6 +76,7 @@
   bool answered = false;
   bool streaming = false;  // the answer has begun; the client owns it
   bool extra = false;      // beyond its tenant's share
+  int looked_for = 0;      // the number of the fetch that looks were asked for, from 1
 
   // The caller's again: its body is more than is held at a time, so that no second copy can be sent beside
   // the first; it is still coming; part of it is gone and can't be sent once more.
@@ -91,6 +96,8 @@
   int be = -1;
   double retry_after = 0;
   std::uint32_t cancel = 0;
+  std::array<int, most_looks> look{};  // servers to probe now
+  int looks = 0;
 };
 
 // How long to wait: for the newest fetch, and until where() is asked again.
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -79,7 +79,9 @@
                    .tenant = r.get<std::uint16_t>(35),
                    .arrived = now,
                    .due = r.get<double>(10),
-                   .repeat = (attrs & 2) != 0},
+                   .repeat = (attrs & 2) != 0,
+                   .work = (attrs & 1) != 0 ? std::max(0.0, r.get<double>(18)) : 0,
+                   .key = r.get<std::uint64_t>(27)},
                   now);
 }
 
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -30,6 +30,7 @@
   void bounce(routing::Job job, double retry_after) override;
   void error(routing::Job job) override;
   void cancel(routing::Job job, int number) override;
+  void look(int be) override { out_->ask_load(upstreams_[be]); }
 
   int index_of(std::uint32_t upstream);
 
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -103,6 +103,7 @@
   void bounce(Job job, double retry_after) override;
   void error(Job job) override;
   void cancel(Job job, int number) override;
+  void look(int be) override { commands_.push_back({.kind = Command::probe, .be = be}); }
   void released(Job job) override;
 
   void hand_over();  // what was gathered goes to the module
--- a/src/routing/visits.cpp
+++ b/src/routing/visits.cpp
@@ -10,6 +10,7 @@
   auto& held = it->second;
   for (int i = 0; i < most_fetches; ++i)
     if (a.cancel >> i & 1) effects_.cancel(job, i);
+  for (int i = 0; i < a.looks; ++i) effects_.look(a.look[static_cast<std::size_t>(i)]);
   switch (a.kind) {
     case Answer::fetch:
     case Answer::later: {
--- a/src/routing/visits.hpp
+++ b/src/routing/visits.hpp
@@ -20,6 +20,7 @@
   virtual void bounce(Job job, double retry_after) = 0;
   virtual void error(Job job) = 0;
   virtual void cancel(Job job, int number) = 0;
+  virtual void look(int be) = 0;
   // Answered and nothing out: the visit is forgotten, and so may its bytes be.
   virtual void released(Job) {}
 
