--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -94,6 +94,7 @@
 // Cold servers.
 constexpr double cold_safety = 0.5;
 constexpr double cold_burst = 1;
+constexpr double cold_few = 16;  // up to so many balancers each begins with one
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
 // Looks: what probes and the load that answers carry tell of a server's visits.
@@ -111,6 +112,23 @@
 constexpr double usual_gain = 0.05;
 constexpr double look_most_ms = 2000;  // older looks count for nothing
 
+// Where servers keep what they met of a key: the pods that share it, and how many serve a popular key.
+constexpr double key_fade_ms = 10000;
+constexpr double key_prior = 5;     // visits' worth of doubt in a key's share
+constexpr double key_spread = 1.3;  // times its share of the zone's pods
+constexpr std::size_t keys_kept = 64;
+
+// What balancers tell each other of servers, where they may: the latest word on each, from whoever met it.
+constexpr double memo_every_ms = 400;
+constexpr std::size_t memo_entry = 6, memo_head = 4, memo_most = 42;
+constexpr char memo_version = 1;
+constexpr double memo_age_ms = 50;     // a byte's unit
+constexpr double word_fade_ms = 3000;  // a word on how long a server takes
+constexpr double sick_fade_ms = 4000;  // a word that it fails
+constexpr double sick_gain = 0.4;      // of one outcome
+constexpr double sick_from = 0.25;     // above this it is passed over: one voice lasts under two seconds
+constexpr double wait_base_ms = 4, wait_step = 0.04;  // a byte's scale of times
+
 // Where only probes tell what a server holds, each visit has a few looked at before it goes.
 constexpr int looks_each = 5;
 constexpr double look_waits = 2;    // times a probe's usual time
@@ -129,6 +147,18 @@
 enum class Repeat : std::uint8_t { readlike, tagged, mutating };
 enum class Group : std::uint8_t { all, zone, cell };
 
+// How often a key came of late; the least is given up for a new one.
+struct Heard {
+  std::uint64_t key = 0;
+  double times = 0;
+};
+
+struct Pod {
+  int zone = 0, id = 0;
+  std::vector<int> servers;
+  std::uint64_t rank = 0;  // for the key in hand
+};
+
 struct Prefix {
   Repeat repeat = Repeat::mutating;
   Group group = Group::cell;
@@ -162,6 +192,9 @@
   bool trial = false;                   // back from the bench, one visit at a time
   double load = 0, looked_at = -never;  // the last look; none once a visit went there
   double tokens = cold_burst, tokens_at = 0, failed_at = -never;
+  double takes_now = 1;                 // worked out at each pick
+  std::uint32_t id = 0;                 // what memos call it
+  double wait = 0, sick = 0, word_at = -never;  // the latest word: how long a visit takes, whether it fails
   bool shut = false;        // by an operator's hand
   double shut_at = -never;  // and since when
   double back_at = -never;  // put back, and not tried since
@@ -221,9 +254,14 @@
     cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
     warm_ms = number("rules.warm_after_ms", 20000);
     overload_factor = number("rules.overload_factor", 2);
+    overload_for = number("rules.overload_for_ms", 1500);
     weighted = word("weights") != "off" && word("weights") != "live";
     zone = static_cast<int>(number("zone", 0));
     crossing_costs = number("fees.cross_zone", 0) > 0;
+    tells = word("limits.peer_messages") == "true" && replicas > 1 && depth_column >= 0 && mean_column >= 0;
+    me = static_cast<int>(number("my_number", 0));
+    memo_at = now + uniform() * memo_every_ms;
+    warm_keys = word("specifics.warm_keys") == "true";
     asks = word("discovery") == "subscribe";
     ask_within = number("rules.ask_within_ms", 10000);
     // Hundreds that start together would wear the list out; the one they start with serves meanwhile.
@@ -254,6 +292,14 @@
         if (auto at = columns.find(name); look_column < 0 && at != columns.npos)
           look_column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
     if (word("report.how") != "inline") return;
+    auto place = [&](std::string_view name) {
+      auto at = columns.find(name);
+      return at == columns.npos
+                 ? -1
+                 : static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
+    };
+    depth_column = place("depth");
+    mean_column = place("mean_ms");
     for (std::string_view name : {"concurrent", "load_share"})
       if (auto at = columns.find(name); column < 0 && at != columns.npos) {
         column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
@@ -394,8 +440,12 @@
            now - last_answer < quiet / 2;
   }
 
+  [[nodiscard]] static double sick(const Be& be, double now) {
+    return be.sick * std::exp((be.word_at - now) / sick_fade_ms);
+  }
+
   [[nodiscard]] bool usable(const Be& be, double now) const {
-    return !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
+    return sick(be, now) < sick_from && !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
@@ -528,7 +578,8 @@
         candidates.push_back(i);
     }
     bool asks_room = stage == 0 && v.sent == 0;
-    if (asks_room && look_column < 0 && crowded_out(!room(v, ready))) return -1;
+    bool measures = room_floor * ready * tiers >= replicas;
+    if (asks_room && look_column < 0 && measures && crowded_out(!room(v, ready))) return -1;
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used. What a
     // rule keeps from a visit is not sick: with most servers new and cold, the quick failers were used again.
     if (candidates.empty() || sick > (1 - panic_share) * (ready - v.sent)) {
@@ -539,11 +590,13 @@
     }
     for (int i : candidates)
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
+    bool by_key = warm_keys && v.key != 0;
+    if (by_key) narrow(v, now);
     if (look_column >= 0) {
       int i = seen_least(now);
       if (i >= 0) return asks_room && crowded_out(too_late(v, bes[i], now)) ? -1 : i;
     }
-    if (crossing_costs && uniform() >= spill) {
+    if (crossing_costs && !by_key && uniform() >= spill) {
       auto far = [this](int i) { return bes[i].zone != zone; };
       // Reports tell of a zone with more traffic than servers a second late, and by then its servers were
       // choked: at the start of a day it turned away three in four. Own visits tell at once.
@@ -556,6 +609,8 @@
       double stay = stays();
       if (!all_filled(0) || (stay > 0 && uniform() < stay && !all_filled(1))) std::erase_if(candidates, far);
     }
+    if (tells)
+      for (int i : candidates) bes[i].takes_now = takes(bes[i], now);
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
@@ -618,6 +673,66 @@
   }
   [[nodiscard]] double look_wait() const { return wire_tick + look_waits * probe_took; }
 
+  static std::uint64_t mixed(std::uint64_t x) {
+    x += 0x9e3779b97f4a7c15;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
+    return x ^ (x >> 31);
+  }
+
+  // The share of a key among this instance's visits of late.
+  double heard_share(std::uint64_t key, double now) {
+    double f = std::exp((heard_at - now) / key_fade_ms);
+    heard_at = now;
+    heard_all = heard_all * f + 1;
+    Heard* least = heard.data();
+    Heard* at = nullptr;
+    for (auto& h : heard) {
+      h.times *= f;
+      if (h.key == key) at = &h;
+      if (h.times < least->times) least = &h;
+    }
+    if (at == nullptr) *(at = least) = {.key = key};
+    at->times += 1;
+    return (at->times - 1) / (heard_all + key_prior);
+  }
+
+  // Leaves of the candidates those of the pod that the key ranks first by hashes that all balancers share, or
+  // of one of the first few where it is popular; the next in rank where none of them is a candidate.
+  void narrow(const Visit& v, double now) {
+    if (pods_stale) {
+      pods.clear();
+      for (int i : listed) {
+        auto at = std::find_if(pods.begin(), pods.end(),
+                               [&](const Pod& p) { return p.id == bes[i].pod && p.zone == bes[i].zone; });
+        if (at == pods.end()) at = pods.insert(at, Pod{.zone = bes[i].zone, .id = bes[i].pod, .servers = {}});
+        at->servers.push_back(i);
+      }
+      pods_stale = false;
+    }
+    double share = v.sent == 0 ? heard_share(v.key, now) : 0;
+    double near = 0;
+    for (auto& p : pods) {
+      near += p.zone == zone;
+      p.rank = mixed(v.key ^ mixed(static_cast<std::uint64_t>(p.id) + 1)) >> 1;
+      if (p.zone == zone) p.rank |= std::uint64_t{1} << 63;
+    }
+    int among = std::max(1, static_cast<int>(std::ceil(share * near * key_spread)));
+    std::sort(pods.begin(), pods.end(), [](const Pod& a, const Pod& b) { return a.rank > b.rank; });
+    int skip = static_cast<int>(uniform() * among);
+    std::vector<int> left;
+    for (const auto& p : pods) {
+      if (!left.empty() && skip < 0) break;
+      std::vector<int> here;
+      for (int i : candidates)
+        if (bes[i].pod == p.id && bes[i].zone == p.zone) here.push_back(i);
+      if (here.empty()) continue;
+      left = std::move(here);
+      --skip;
+    }
+    candidates = std::move(left);
+  }
+
   // A part of under one visit is full with a single one, which then says little of what the zone holds. By
   // the share of its instances that are not this one, a second one goes to each near server while answers
   // tell of a zone that is neither busy nor busier than the others. Without that bound servers choked by the
@@ -687,6 +802,84 @@
     told = now;
   }
 
+  // The latest word on a server is the one that counts, whoever it is from: nothing adds up, so that nothing
+  // that comes round is counted twice.
+  void word(Be& be, const Fetch& f, const Gauge& gauge, double now) {
+    if (!tells) return;
+    bool ok = f.status == Status::delivered;
+    if (ok && depth_column < gauge.n && mean_column < gauge.n) {
+      double wait = (std::max(0.0f, gauge.v[depth_column]) + 1) * std::max(1.0f, gauge.v[mean_column]);
+      if (std::isfinite(wait)) {
+        be.wait = wait;
+        blend(usual_wait, wait * be.weight / mean_weight, room_gain);
+      }
+    }
+    if (f.status == Status::full) be.wait = std::max(be.wait, 4 * usual_wait);
+    be.sick = sick(be, now);
+    if (f.status != Status::full) be.sick += sick_gain * (!ok - be.sick);
+    be.word_at = now;
+  }
+
+  // How long a visit is thought to take there: the latest word, less as it grows old.
+  [[nodiscard]] double takes(const Be& be, double now) const {
+    double usual = std::max(1.0, usual_wait * mean_weight / be.weight);
+    return be.wait > 0 ? usual + (be.wait - usual) * std::exp((be.word_at - now) / word_fade_ms) : usual;
+  }
+
+  static std::uint8_t byte(double v) { return static_cast<std::uint8_t>(std::clamp(v, 0.0, 255.0)); }
+
+  static std::uint16_t sum(std::string_view bytes) {
+    std::uint32_t a = 1, b = 0;
+    for (unsigned char c : bytes) a = (a + c) % 251, b = (b + a) % 251;
+    return static_cast<std::uint16_t>(b << 8 | a);
+  }
+
+  void memo(std::vector<Memo>& memos, double now) {
+    if (!tells || now < memo_at) return;
+    memo_at = now + memo_every_ms * (0.8 + 0.4 * uniform());
+    std::vector<int> fresh;
+    for (int i : listed)
+      if (now - bes[i].word_at < 255 * memo_age_ms) fresh.push_back(i);
+    if (fresh.empty()) return;
+    auto later = [this](int a, int b) { return bes[a].word_at > bes[b].word_at; };
+    std::size_t n = std::min(fresh.size(), memo_most);
+    std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(n), fresh.end(), later);
+    std::string m(memo_head, memo_version);
+    for (std::size_t k = 0; k < n; ++k) {
+      const auto& be = bes[fresh[k]];
+      for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(be.id >> shift));
+      m.push_back(static_cast<char>(
+          be.wait > 0 ? byte(1 + std::log(std::max(1.0, be.wait / wait_base_ms)) / wait_step) : 0));
+      m.push_back(static_cast<char>(byte(be.sick * 255)));
+      m.push_back(static_cast<char>(byte((now - be.word_at) / memo_age_ms)));
+    }
+    m[1] = static_cast<char>(n);
+    auto check = sum(std::string_view(m).substr(memo_head));
+    m[2] = static_cast<char>(check), m[3] = static_cast<char>(check >> 8);
+    int to = static_cast<int>(uniform() * (replicas - 1));
+    memos.push_back({.to = to + (to >= me), .bytes = std::move(m)});
+  }
+
+  // What is torn, foreign or of another version changes nothing; of a server that is not in the own list
+  // nothing is kept.
+  void heard_memo(std::string_view m, double now) {
+    auto at = [&](std::size_t i) { return static_cast<unsigned char>(m[i]); };
+    if (!tells || m.size() < memo_head || m[0] != memo_version) return;
+    if (at(1) > memo_most || m.size() != memo_head + at(1) * memo_entry) return;
+    if (sum(m.substr(memo_head)) != (at(2) | at(3) << 8)) return;
+    for (std::size_t k = memo_head; k < m.size(); k += memo_entry) {
+      std::uint32_t id = at(k) | at(k + 1) << 8 | at(k + 2) << 16;
+      auto it = by_id.find(id);
+      if (it == by_id.end()) continue;
+      auto& be = bes[it->second];
+      double when = now - (at(k + 5) + 1) * memo_age_ms;
+      if (be.standing == Standing::gone || when <= be.word_at || when <= be.up_since) continue;
+      be.word_at = when;
+      be.sick = at(k + 4) / 255.0;
+      be.wait = at(k + 3) > 0 ? wait_base_ms * std::exp((at(k + 3) - 1) * wait_step) : 0;
+    }
+  }
+
   // Probes for this tick, of servers not looked at lately.
   void choose_probes(std::vector<int>& chosen, double now) {
     for (probes_due = std::min(probes_due, probes_at_once); probes_due >= 1; probes_due -= 1) {
@@ -700,6 +893,7 @@
 
   // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
   [[nodiscard]] double pull(const Be& be) const {
+    if (tells) return 1 / (be.takes_now * be.takes_now);
     return be.weight * std::exp(-(be.slow + slow_prior * kind_slow[be.sku]) / (be.seen + slow_prior));
   }
 
@@ -813,6 +1007,7 @@
     bool was_answered = v.answered;
     v.answered = v.answered || rt.closed;
     if (rt.status == Status::delivered) reported(be, rt.gauge, now);
+    if (rt.status != Status::cancelled && rt.status != Status::moot) word(be, f, rt.gauge, now);
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
@@ -881,6 +1076,12 @@
   Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
+    // Where no copy may go beside it, a fetch that takes longer than nearly all is given up while another can
+    // still be in time.
+    double half = prefix(v).target / 2;
+    if (!second_copies && tells && v.sent < 2 && prefix(v).repeat != Repeat::mutating && slow_end < half &&
+        slow_end > 0 && retries >= 1)
+      p.limit = std::min(p.limit, half);
     if (v.out == 0) p.again = look_wait();
     if (copies(v) && v.out == v.sent && v.out > 0) p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
     return p;
@@ -917,9 +1118,15 @@
             Be{.out = be.out, .shut = be.shut, .shut_at = be.shut_at, .back_at = known ? be.back_at : -never};
         be.waiting_since = now;
         be.tokens_at = now;
+        // A whole token with each of hundreds is a burst that pushes it over at its start: as much as the
+        // rule's span bears is there at once, the rest comes evenly.
+        double part = warm_rate * overload_factor * cold_share * cold_safety * overload_for;
+        if (uniform() >= std::max(part, cold_few / replicas)) be.tokens = uniform();
       }
       be.zone = e.zone;
       be.pod = e.pod;
+      be.id = e.id;
+      by_id[e.id & 0xffffff] = e.be;
       be.sku = std::max(0, e.sku);
       if (be.sku >= static_cast<int>(kind_slow.size())) kind_slow.resize(be.sku + 1);
       be.weight = weighted && e.weight > 0 ? e.weight : 1;
@@ -932,6 +1139,7 @@
     for (int i : listed) sum += bes[i].weight;
     mean_weight = listed.empty() ? 1 : sum / static_cast<double>(listed.size());
     std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
+    pods_stale = true;
   }
 
   // The least that a mean has been. Under a load that the bound holds back, slower is not calmer: it stays
@@ -962,6 +1170,7 @@
             .out = be.out,
             .waiting_since = now,
             .tokens_at = now,
+            .id = be.id,
             .back_at = now};
   }
 
@@ -1038,6 +1247,7 @@
       spill = std::clamp(spill + std::max(spill_gain * fuller, -spill_down), beyond, 1.0);
     }
     if (probing && !listed.empty()) choose_probes(c.probe, now);
+    memo(c.memos, now);
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
@@ -1075,13 +1285,21 @@
          far_took = 0;
   double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
          late_held = 0, late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
-         overload_factor = 2;
+         overload_factor = 2, overload_for = 1500;
   double ask_within = 10000;
 
   bool some_run_again = false;  // among the path prefixes
   bool probing = false, counts_visits = false;
   int column = -1;       // of the load reports, where answers carry them
+  int depth_column = -1, mean_column = -1;
+  bool tells = false;  // memos are allowed
+  int me = 0;
+  double memo_at = 0, usual_wait = 0;
   int look_column = -1;  // of those that only probes bring
+  bool warm_keys = false, pods_stale = true;  // servers do a key they met of late for less
+  std::array<Heard, keys_kept> heard{};
+  double heard_all = 0, heard_at = 0;
+  std::vector<Pod> pods;
   double probe_took = 0, mean_work = 0, pace = 1;
   double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, near_told = -never, far_told = -never, mean_out = 0,
@@ -1091,6 +1309,7 @@
   double last_passed = -never;
   std::vector<Be> bes;
   std::vector<int> listed;
+  std::map<std::uint32_t, int> by_id;
   std::vector<double> kind_slow = {0};
   std::vector<int> candidates;
   double last_answer = -never, turned_away = 0, slow_end = 0, warm_rate = 0;
@@ -1130,6 +1349,7 @@
 void Brain::probed(int be, Status status, double took, const Gauge& gauge, double now) {
   core_->probed(be, status, took, gauge, now);
 }
+void Brain::heard(std::string_view memo, double now) { core_->heard_memo(memo, now); }
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
 void Brain::shut(int be, bool out, double now) { core_->shut(be, out, now); }
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace meadow {
@@ -37,6 +38,13 @@
   double weight = 0;
   double up_since = 0;  // 0: long ago
   bool shut = false;    // out by an operator's hand
+  std::uint32_t id = 0;  // the same at every balancer
+};
+
+// A short message to another balancer of the tier, by its number.
+struct Memo {
+  int to = 0;
+  std::string bytes;
 };
 
 enum class ListKind : std::uint8_t { delta, full, cached, failed };
@@ -111,6 +119,7 @@
   bool subscribe = false;
   bool lookup = false;
   std::vector<int> probe;
+  std::vector<Memo> memos;
   std::vector<std::string> lines;
 };
 
@@ -132,6 +141,7 @@
   void whole(Visit& v, double due, double now);    // the body of one that was coming has come
   void list(ListKind kind, std::span<const Entry> entries, double now);
   void probed(int be, Status status, double took, const Gauge& gauge, double now);
+  void heard(std::string_view memo, double now);  // from another balancer, if it is one
   Chores tick(double now);  // every tick_every() ms
   [[nodiscard]] double tick_every() const;
   // An operator takes a server out, or puts it back.
--- a/src/drill/codec.cpp
+++ b/src/drill/codec.cpp
@@ -83,6 +83,14 @@
 
 void Reply::ask_load(std::uint32_t upstream) { store(record(action::ask_load) + 1, upstream); }
 
+void Reply::memo_to(std::uint16_t peer, std::string_view bytes) {
+  auto* at = record(action::memo_to);
+  store(at + 1, peer);
+  store(at + 3, static_cast<std::uint32_t>(tail_.size()));
+  store(at + 7, static_cast<std::uint32_t>(bytes.size()));
+  tail_ += bytes;
+}
+
 void Reply::keep_informed(bool active) { store(record(action::keep_informed) + 1, std::uint8_t{active}); }
 
 void Reply::words(std::uint8_t code, std::string_view text) {
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -121,7 +121,8 @@
                         .pod = e.get<std::uint16_t>(7),
                         .standing = standing_of(e.get<std::uint8_t>(9)),
                         .weight = e.get<float>(10),
-                        .up_since = e.get<double>(14)});
+                        .up_since = e.get<double>(14),
+                        .id = e.get<std::uint32_t>(0)});
   }
   auto how = r.get<std::uint8_t>(1);
   if (how <= 3) brain_.list(static_cast<ListKind>(how), entries_, now);
@@ -134,6 +135,7 @@
     if (c.subscribe) out.keep_informed(true);
     if (c.lookup) out.lookup();
     for (int be : c.probe) out.ask_load(upstreams_[be]);
+    for (const auto& m : c.memos) out.memo_to(static_cast<std::uint16_t>(m.to), m.bytes);
     for (const auto& line : c.lines) out.journal_line(line);
     out.set_alarm(brain_.tick_every(), periodic);
     return;
--- a/src/drill/main.cpp
+++ b/src/drill/main.cpp
@@ -64,8 +64,6 @@
       case event::kill:
         if (who_) instances_.erase(*who_);
         return;
-      case event::from_peer:
-        return;  // the module tells its peers nothing and hears nothing
     }
     if (r.code() < event::knock || r.code() > event::kill) {
       std::fprintf(stderr, "meadowgauge_drill: unknown event code %d skipped\n", r.code());
@@ -85,6 +83,8 @@
         return inst.client_gone(r, now, out_);
       case event::probe_done:
         return inst.probe_done(r, now);
+      case event::from_peer:
+        return inst.from_peer(batch.tail(r.get<std::uint32_t>(3), r.get<std::uint32_t>(7)), now);
       case event::alarm:
         return inst.alarm(r, now, out_);
       case event::registry: {
