--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -112,10 +112,14 @@
 constexpr double usual_gain = 0.05;
 constexpr double look_most_ms = 2000;  // older looks count for nothing
 
-// Where servers keep what they met of a key: the pods that share it, and how many serve a popular key.
+// Where servers do for less what they met of late: which serve a key, and how many a popular one.
 constexpr double key_fade_ms = 10000;
 constexpr double key_prior = 5;     // visits' worth of doubt in a key's share
-constexpr double key_spread = 1.3;  // times its share of the zone's pods
+constexpr double key_spread = 1.3;  // times its share of the zone's servers
+constexpr int key_next = 2;         // the next in rank, where those look slower than doing it anew
+constexpr double key_anew = 1;      // of the usual time: what a server loses that has not met the key
+constexpr double far_times = 3;     // of the target latency for each point that crossing costs
+constexpr double kind_least = 0.01;
 constexpr std::size_t keys_kept = 64;
 
 // What balancers tell each other of servers, where they may: the latest word on each, from whoever met it.
@@ -153,12 +157,6 @@
   double times = 0;
 };
 
-struct Pod {
-  int zone = 0, id = 0;
-  std::vector<int> servers;
-  std::uint64_t rank = 0;  // for the key in hand
-};
-
 struct Prefix {
   Repeat repeat = Repeat::mutating;
   Group group = Group::cell;
@@ -257,7 +255,8 @@
     overload_for = number("rules.overload_for_ms", 1500);
     weighted = word("weights") != "off" && word("weights") != "live";
     zone = static_cast<int>(number("zone", 0));
-    crossing_costs = number("fees.cross_zone", 0) > 0;
+    crossing = number("fees.cross_zone", 0);
+    crossing_costs = crossing > 0;
     tells = word("limits.peer_messages") == "true" && replicas > 1 && depth_column >= 0 && mean_column >= 0;
     me = static_cast<int>(number("my_number", 0));
     memo_at = now + uniform() * memo_every_ms;
@@ -590,13 +589,12 @@
     }
     for (int i : candidates)
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
-    bool by_key = warm_keys && v.key != 0;
-    if (by_key) narrow(v, now);
+    if (warm_keys && v.key != 0) return keyed(v, now);
     if (look_column >= 0) {
       int i = seen_least(now);
       if (i >= 0) return asks_room && crowded_out(too_late(v, bes[i], now)) ? -1 : i;
     }
-    if (crossing_costs && !by_key && uniform() >= spill) {
+    if (crossing_costs && uniform() >= spill) {
       auto far = [this](int i) { return bes[i].zone != zone; };
       // Reports tell of a zone with more traffic than servers a second late, and by then its servers were
       // choked: at the start of a day it turned away three in four. Own visits tell at once.
@@ -697,40 +695,39 @@
     return (at->times - 1) / (heard_all + key_prior);
   }
 
-  // Leaves of the candidates those of the pod that the key ranks first by hashes that all balancers share, or
-  // of one of the first few where it is popular; the next in rank where none of them is a candidate.
-  void narrow(const Visit& v, double now) {
-    if (pods_stale) {
-      pods.clear();
-      for (int i : listed) {
-        auto at = std::find_if(pods.begin(), pods.end(),
-                               [&](const Pod& p) { return p.id == bes[i].pod && p.zone == bes[i].zone; });
-        if (at == pods.end()) at = pods.insert(at, Pod{.zone = bes[i].zone, .id = bes[i].pod, .servers = {}});
-        at->servers.push_back(i);
-      }
-      pods_stale = false;
-    }
-    double share = v.sent == 0 ? heard_share(v.key, now) : 0;
-    double near = 0;
-    for (auto& p : pods) {
-      near += p.zone == zone;
-      p.rank = mixed(v.key ^ mixed(static_cast<std::uint64_t>(p.id) + 1)) >> 1;
-      if (p.zone == zone) p.rank |= std::uint64_t{1} << 63;
+  // The server for a key: all balancers rank servers alike by hashes, the more powerful kinds higher. A key
+  // goes to the first near one, a popular one to the lesser of two of the first few; to the next in rank, or
+  // to those it has in another zone, where that is quicker by more than it costs.
+  int keyed(const Visit& v, double now) {
+    auto& ranks = ranked;
+    ranks[0].clear(), ranks[1].clear();
+    for (int i : candidates) {
+      std::uint64_t h = mixed(v.key ^ mixed(bes[i].id + 1ull));
+      double u = (static_cast<double>(h >> 12) + 0.5) / 4503599627370496.0;
+      ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_mean[bes[i].sku].mean, i});
     }
-    int among = std::max(1, static_cast<int>(std::ceil(share * near * key_spread)));
-    std::sort(pods.begin(), pods.end(), [](const Pod& a, const Pod& b) { return a.rank > b.rank; });
-    int skip = static_cast<int>(uniform() * among);
-    std::vector<int> left;
-    for (const auto& p : pods) {
-      if (!left.empty() && skip < 0) break;
-      std::vector<int> here;
-      for (int i : candidates)
-        if (bes[i].pod == p.id && bes[i].zone == p.zone) here.push_back(i);
-      if (here.empty()) continue;
-      left = std::move(here);
-      --skip;
+    double share = heard_share(v.key, now);
+    int pick = -1;
+    double least = never;
+    for (std::size_t far : {0, 1}) {
+      auto& all = ranks[far];
+      auto few = std::max<std::size_t>(
+          1, static_cast<std::size_t>(std::ceil(share * static_cast<double>(all.size()) * key_spread)));
+      auto n = std::min(all.size(), few + key_next);
+      if (n == 0) continue;
+      std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
+                        [](const Rank& a, const Rank& b) { return a.at < b.at; });
+      few = std::min(few, all.size());
+      double fee = far ? crossing * far_times * prefix(v).target : 0;
+      auto weigh = [&](std::size_t k, double more) {
+        const auto& be = bes[all[k].i];
+        double cost = takes(be, now) * (1 + be.out) + fee + more;
+        if (cost < least) least = cost, pick = all[k].i;
+      };
+      for (int n_of_two = 0; n_of_two < 2; ++n_of_two) weigh(static_cast<std::size_t>(uniform() * static_cast<double>(few)), 0);
+      for (auto k = few; k < n; ++k) weigh(k, key_anew * usual_wait);
     }
-    candidates = std::move(left);
+    return pick;
   }
 
   // A part of under one visit is full with a single one, which then says little of what the zone holds. By
@@ -812,6 +809,8 @@
       if (std::isfinite(wait)) {
         be.wait = wait;
         blend(usual_wait, wait * be.weight / mean_weight, room_gain);
+        auto& kind = kind_mean[be.sku];
+        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) * (gauge.v[mean_column] / usual_wait - kind.mean);
       }
     }
     if (f.status == Status::full) be.wait = std::max(be.wait, 4 * usual_wait);
@@ -1129,6 +1128,7 @@
       by_id[e.id & 0xffffff] = e.be;
       be.sku = std::max(0, e.sku);
       if (be.sku >= static_cast<int>(kind_slow.size())) kind_slow.resize(be.sku + 1);
+      kind_mean.resize(kind_slow.size());
       be.weight = weighted && e.weight > 0 ? e.weight : 1;
       be.up_since = std::max(be.up_since, e.up_since);
       be.standing = e.standing;
@@ -1139,7 +1139,6 @@
     for (int i : listed) sum += bes[i].weight;
     mean_weight = listed.empty() ? 1 : sum / static_cast<double>(listed.size());
     std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
-    pods_stale = true;
   }
 
   // The least that a mean has been. Under a load that the bound holds back, slower is not calmer: it stays
@@ -1296,10 +1295,20 @@
   int me = 0;
   double memo_at = 0, usual_wait = 0;
   int look_column = -1;  // of those that only probes bring
-  bool warm_keys = false, pods_stale = true;  // servers do a key they met of late for less
+  bool warm_keys = false;  // servers do a key they met of late for less
   std::array<Heard, keys_kept> heard{};
   double heard_all = 0, heard_at = 0;
-  std::vector<Pod> pods;
+  struct Rank {
+    double at;
+    int i;
+  };
+  std::array<std::vector<Rank>, 2> ranked;  // near and far ones, for the key in hand
+  struct Kind {
+    double mean = 1;
+    int seen = 0;
+  };
+  std::vector<Kind> kind_mean = {{}};
+  double crossing = 0;
   double probe_took = 0, mean_work = 0, pace = 1;
   double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, near_told = -never, far_told = -never, mean_out = 0,
