--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -447,13 +447,17 @@
     return sick(be, now) < sick_from && !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
+  // In a crowd, and only then, what earns less and what is beyond a share make way.
+  [[nodiscard]] double part_of(const Visit& v) {
+    double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
+    return 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
+  }
+
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
   // that takes. Chance puts about a root on top of a number, which is little for the whole tier.
   bool room(const Visit& v, double ready) {
     mean_out += std::max(room_gain, 1.0 / ++arrivals) * (out_all - mean_out);
-    // In a crowd, and only then, what earns less and what is beyond a share make way.
-    double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
-    double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
+    double part = part_of(v);
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
     // What small instances may hold on top of it for chance adds up over them: only while the mean is under
     // it.
@@ -589,7 +593,10 @@
     }
     for (int i : candidates)
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
-    if (warm_keys && v.key != 0) return keyed(v, now);
+    if (warm_keys && v.key != 0) {
+      int i = keyed(v, now);
+      return asks_room && crowded_out(takes(bes[i], now) > part_of(v) * room_share * prefix(v).target) ? -1 : i;
+    }
     if (look_column >= 0) {
       int i = seen_least(now);
       if (i >= 0) return asks_room && crowded_out(too_late(v, bes[i], now)) ? -1 : i;
@@ -635,9 +642,7 @@
 
   // An answer after the target latency earns nothing and keeps others waiting.
   [[nodiscard]] bool too_late(const Visit& v, const Be& be, double now) {
-    double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
-    double part = 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
-    return expected(v, be, now) > part * prefix(v).target;
+    return expected(v, be, now) > part_of(v) * prefix(v).target;
   }
 
   // The one of the servers just looked at that is done soonest; by chance among equals.
