--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -87,6 +87,7 @@
 // Repeats.
 constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
+constexpr double retry_all = 300;  // of all balancers together: a thousand with ten each doubled a crowd
 constexpr double copy_after = 1.5;  // times the slow end of the answers, for a sick server's visits
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 constexpr double last_ticks = 3;    // of the wire before a visit is due, in which it is fetched no more
@@ -113,18 +114,20 @@
 constexpr double look_most_ms = 2000;  // older looks count for nothing
 
 // Where servers do for less what they met of late: which serve a key, and how many a popular one.
-constexpr double key_fade_ms = 10000;
-constexpr double key_prior = 5;     // visits' worth of doubt in a key's share
+constexpr double key_gain = 0.03;   // of one visit
+constexpr double key_prior = 5;     // visits before a share means anything: at first each is spread
+constexpr double key_first = 0.05;  // as if it had this share
 constexpr double key_spread = 1.3;  // times its share of the zone's servers
 constexpr int key_next = 2;         // the next in rank, where those look slower than doing it anew
 constexpr double key_anew = 1;      // of the usual time: what a server loses that has not met the key
 constexpr double far_times = 3;     // of the target latency for each point that crossing costs
+constexpr double keyed_share = 0.35;  // of the target latency, as words are old and leave out much
 constexpr double kind_least = 0.01;
 constexpr std::size_t keys_kept = 64;
 
 // What balancers tell each other of servers, where they may: the latest word on each, from whoever met it.
 constexpr double memo_every_ms = 400;
-constexpr std::size_t memo_entry = 6, memo_head = 4, memo_most = 42;
+constexpr std::size_t memo_entry = 6, memo_head = 5, memo_most = 36, memo_keys = 8, memo_key = 4;
 constexpr char memo_version = 1;
 constexpr double memo_age_ms = 50;     // a byte's unit
 constexpr double word_fade_ms = 3000;  // a word on how long a server takes
@@ -151,10 +154,10 @@
 enum class Repeat : std::uint8_t { readlike, tagged, mutating };
 enum class Group : std::uint8_t { all, zone, cell };
 
-// How often a key came of late; the least is given up for a new one.
+// A key's share of the tier's visits, as far as known; the least is given up for a new one.
 struct Heard {
-  std::uint64_t key = 0;
-  double times = 0;
+  std::uint32_t key = 0;
+  double share = 0;
 };
 
 struct Prefix {
@@ -237,6 +240,7 @@
     max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
     read_reports();
     probing = word("limits.probes") == "true" && column < 0 && look_column < 0;
+    retries = retry_most = std::clamp(retry_all / replicas, 1.0, retry_burst);
     probe_took = wire_tick = number("tick_ms", 5);
     second_copies = word("limits.second_copies") == "true";
     cancelling = word("limits.cancelling") == "true";
@@ -595,7 +599,9 @@
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
     if (warm_keys && v.key != 0) {
       int i = keyed(v, now);
-      return asks_room && crowded_out(takes(bes[i], now) > part_of(v) * room_share * prefix(v).target) ? -1 : i;
+      // Where no word has come the usual time is no ground: one that met a crowd first turned all away.
+      bool full = takes(bes[i], now) > part_of(v) * keyed_share * prefix(v).target;
+      return asks_room && crowded_out(full) ? -1 : i;
     }
     if (look_column >= 0) {
       int i = seen_least(now);
@@ -683,21 +689,39 @@
     return x ^ (x >> 31);
   }
 
-  // The share of a key among this instance's visits of late.
-  double heard_share(std::uint64_t key, double now) {
-    double f = std::exp((heard_at - now) / key_fade_ms);
-    heard_at = now;
-    heard_all = heard_all * f + 1;
+  static std::uint32_t short_key(std::uint64_t key) { return static_cast<std::uint32_t>(mixed(key) & 0xffffff); }
+
+  Heard& heard_of(std::uint32_t key) {
     Heard* least = heard.data();
-    Heard* at = nullptr;
     for (auto& h : heard) {
-      h.times *= f;
-      if (h.key == key) at = &h;
-      if (h.times < least->times) least = &h;
+      if (h.key == key) return h;
+      if (h.share < least->share) least = &h;
     }
-    if (at == nullptr) *(at = least) = {.key = key};
-    at->times += 1;
-    return (at->times - 1) / (heard_all + key_prior);
+    return *least;
+  }
+
+  // The share that a key has of late among this instance's visits, evened out with what the others tell.
+  double heard_share(std::uint64_t key) {
+    double doubt = key_prior / (key_prior + ++heard_all), gain = std::max(key_gain, doubt / key_prior);
+    auto id = short_key(key);
+    for (auto& h : heard) h.share *= 1 - gain;
+    auto& h = heard_of(id);
+    if (h.key != id) h = {.key = id};
+    double before = h.share;
+    h.share += gain;
+    return before + key_first * doubt * doubt;
+  }
+
+  // Means of two tell no more than was there; what the other does not name has no more than its least.
+  void even_out(const std::vector<Heard>& told) {
+    if (told.empty()) return;
+    for (auto& h : heard) {
+      auto it = std::find_if(told.begin(), told.end(), [&](const Heard& t) { return t.key == h.key; });
+      h.share = (h.share + (it != told.end() ? it->share : std::min(h.share, told.back().share))) / 2;
+    }
+    for (const auto& t : told)
+      if (auto& h = heard_of(t.key); h.key != t.key && h.share < t.share / 2)
+        h = {.key = t.key, .share = t.share / 2};
   }
 
   // The server for a key: all balancers rank servers alike by hashes, the more powerful kinds higher. A key
@@ -711,7 +735,7 @@
       double u = (static_cast<double>(h >> 12) + 0.5) / 4503599627370496.0;
       ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_mean[bes[i].sku].mean, i});
     }
-    double share = heard_share(v.key, now);
+    double share = heard_share(v.key);
     int pick = -1;
     double least = never;
     for (std::size_t far : {0, 1}) {
@@ -810,20 +834,35 @@
     if (!tells) return;
     bool ok = f.status == Status::delivered;
     if (ok && depth_column < gauge.n && mean_column < gauge.n) {
-      double wait = (std::max(0.0f, gauge.v[depth_column]) + 1) * std::max(1.0f, gauge.v[mean_column]);
+      // The time that is told has waiting in it, and foretold little; what waits did.
+      double ahead = std::max(0.0f, gauge.v[depth_column]) + 1;
+      blend(mean_work, std::max(1.0, now - f.sent) / ahead, std::max(pace_gain, 1.0 / ++works));
+      double wait = ahead * mean_work;
       if (std::isfinite(wait)) {
         be.wait = wait;
-        blend(usual_wait, wait * be.weight / mean_weight, room_gain);
+        usually(be);
         auto& kind = kind_mean[be.sku];
-        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) * (gauge.v[mean_column] / usual_wait - kind.mean);
+        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) * (gauge.v[mean_column] / std::max(1.0, usual_wait) - kind.mean);
       }
     }
     if (f.status == Status::full) be.wait = std::max(be.wait, 4 * usual_wait);
+    // One that was known to take long is crowded, not sick: its keys would wander and cost all the more.
+    bool crowd = f.status == Status::full;
+    if (f.status == Status::timeout) {
+      crowd = 2 * takes(be, now) > now - f.sent;
+      be.wait = std::max(takes(be, now), now - f.sent);
+    }
     be.sick = sick(be, now);
-    if (f.status != Status::full) be.sick += sick_gain * (!ok - be.sick);
+    if (!crowd) be.sick += sick_gain * (!ok - be.sick);
     be.word_at = now;
   }
 
+  // The middle of what words say: a few long queues are not what is usual.
+  void usually(const Be& be) {
+    double w = be.wait * be.weight / mean_weight;
+    usual_wait = usual_wait == 0 ? w : usual_wait * std::exp(w > usual_wait ? room_gain : -room_gain);
+  }
+
   // How long a visit is thought to take there: the latest word, less as it grows old.
   [[nodiscard]] double takes(const Be& be, double now) const {
     double usual = std::max(1.0, usual_wait * mean_weight / be.weight);
@@ -848,7 +887,7 @@
     auto later = [this](int a, int b) { return bes[a].word_at > bes[b].word_at; };
     std::size_t n = std::min(fresh.size(), memo_most);
     std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(n), fresh.end(), later);
-    std::string m(memo_head, memo_version);
+    std::string m{memo_version, 0, 0, 0, 0};
     for (std::size_t k = 0; k < n; ++k) {
       const auto& be = bes[fresh[k]];
       for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(be.id >> shift));
@@ -858,6 +897,12 @@
       m.push_back(static_cast<char>(byte((now - be.word_at) / memo_age_ms)));
     }
     m[1] = static_cast<char>(n);
+    auto top = heard;
+    std::sort(top.begin(), top.end(), [](const Heard& a, const Heard& b) { return a.share > b.share; });
+    for (std::size_t k = 0; k < memo_keys && top[k].share > 0; ++k, ++m[4]) {
+      for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(top[k].key >> shift));
+      m.push_back(static_cast<char>(byte(std::sqrt(top[k].share) * 255)));
+    }
     auto check = sum(std::string_view(m).substr(memo_head));
     m[2] = static_cast<char>(check), m[3] = static_cast<char>(check >> 8);
     int to = static_cast<int>(uniform() * (replicas - 1));
@@ -869,10 +914,17 @@
   void heard_memo(std::string_view m, double now) {
     auto at = [&](std::size_t i) { return static_cast<unsigned char>(m[i]); };
     if (!tells || m.size() < memo_head || m[0] != memo_version) return;
-    if (at(1) > memo_most || m.size() != memo_head + at(1) * memo_entry) return;
+    if (at(1) > memo_most || at(4) > memo_keys) return;
+    const std::size_t end = memo_head + at(1) * memo_entry;
+    if (m.size() != end + at(4) * memo_key) return;
     if (sum(m.substr(memo_head)) != (at(2) | at(3) << 8)) return;
-    for (std::size_t k = memo_head; k < m.size(); k += memo_entry) {
-      std::uint32_t id = at(k) | at(k + 1) << 8 | at(k + 2) << 16;
+    auto id_at = [&](std::size_t k) -> std::uint32_t { return at(k) | at(k + 1) << 8 | at(k + 2) << 16; };
+    std::vector<Heard> told;
+    for (std::size_t k = end; k < m.size(); k += memo_key)
+      told.push_back({.key = id_at(k), .share = at(k + 3) / 255.0 * at(k + 3) / 255.0});
+    even_out(told);
+    for (std::size_t k = memo_head; k < end; k += memo_entry) {
+      std::uint32_t id = id_at(k);
       auto it = by_id.find(id);
       if (it == by_id.end()) continue;
       auto& be = bes[it->second];
@@ -881,6 +933,8 @@
       be.word_at = when;
       be.sick = at(k + 4) / 255.0;
       be.wait = at(k + 3) > 0 ? wait_base_ms * std::exp((at(k + 3) - 1) * wait_step) : 0;
+      // Heard too: one that turned all away for what it had met at the start learned nothing else.
+      if (be.wait > 0) usually(be);
     }
   }
 
@@ -979,7 +1033,7 @@
     if (v.answered || v.streaming) return {};
     if (!v.admitted) {
       v.admitted = true;
-      retries = std::min(retry_burst, retries + retry_share);
+      retries = std::min(retry_most, retries + retry_share);
       tally(v, now);
       if (v.work > 0) blend(mean_work, v.work, pace_gain);
       if (throttled(v, now)) return finish(v, now);
@@ -1302,7 +1356,7 @@
   int look_column = -1;  // of those that only probes bring
   bool warm_keys = false;  // servers do a key they met of late for less
   std::array<Heard, keys_kept> heard{};
-  double heard_all = 0, heard_at = 0;
+  double heard_all = 0;
   struct Rank {
     double at;
     int i;
@@ -1314,6 +1368,7 @@
   };
   std::vector<Kind> kind_mean = {{}};
   double crossing = 0;
+  int works = 0;
   double probe_took = 0, mean_work = 0, pace = 1;
   double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
   double tier_util = 0, near_util = 0, far_util = 0, near_told = -never, far_told = -never, mean_out = 0,
@@ -1327,7 +1382,7 @@
   std::vector<double> kind_slow = {0};
   std::vector<int> candidates;
   double last_answer = -never, turned_away = 0, slow_end = 0, warm_rate = 0;
-  double retries = retry_burst;
+  double retries = retry_burst, retry_most = retry_burst;
   bool subscribed = false, asked = false;
   double ask_at = 0, asked_at = 0, said = -never;
   int failures = 0, answers = 0, warm_ready = 0, out_all = 0;
