--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -114,14 +114,14 @@
 constexpr double look_most_ms = 2000;  // older looks count for nothing
 
 // Where servers do for less what they met of late: which serve a key, and how many a popular one.
-constexpr double key_gain = 0.03;   // of one visit
+constexpr double key_gain = 0.015;  // of one visit
 constexpr double key_prior = 5;     // visits before a share means anything: at first each is spread
 constexpr double key_first = 0.05;  // as if it had this share
 constexpr double key_spread = 1.3;  // times its share of the zone's servers
 constexpr int key_next = 2;         // the next in rank, where those look slower than doing it anew
-constexpr double key_anew = 1;      // of the usual time: what a server loses that has not met the key
-constexpr double far_times = 3;     // of the target latency for each point that crossing costs
-constexpr double keyed_share = 0.35;  // of the target latency, as words are old and leave out much
+constexpr double key_anew = 2;      // of the usual time: what a server loses that has not met the key
+constexpr double far_times = 1.5;    // of the target latency for each point that crossing costs
+constexpr double keyed_share = 0.5;   // of the target latency, as words are old and leave out much
 constexpr double kind_least = 0.01;
 constexpr std::size_t keys_kept = 64;
 
@@ -131,6 +131,8 @@
 constexpr char memo_version = 1;
 constexpr double memo_age_ms = 50;     // a byte's unit
 constexpr double word_fade_ms = 3000;  // a word on how long a server takes
+constexpr double room_fade_ms = 1000;   // the same, where it turns visits away: a queue is gone sooner
+constexpr double usual_fade_ms = 500;   // and on what is usual, with no word at all
 constexpr double sick_fade_ms = 4000;  // a word that it fails
 constexpr double sick_gain = 0.4;      // of one outcome
 constexpr double sick_from = 0.25;     // above this it is passed over: one voice lasts under two seconds
@@ -261,7 +263,8 @@
     zone = static_cast<int>(number("zone", 0));
     crossing = number("fees.cross_zone", 0);
     crossing_costs = crossing > 0;
-    tells = word("limits.peer_messages") == "true" && replicas > 1 && depth_column >= 0 && mean_column >= 0;
+    worded = depth_column >= 0;
+    tells = worded && word("limits.peer_messages") == "true" && replicas > 1;
     me = static_cast<int>(number("my_number", 0));
     memo_at = now + uniform() * memo_every_ms;
     warm_keys = word("specifics.warm_keys") == "true";
@@ -302,7 +305,6 @@
                  : static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
     };
     depth_column = place("depth");
-    mean_column = place("mean_ms");
     for (std::string_view name : {"concurrent", "load_share"})
       if (auto at = columns.find(name); column < 0 && at != columns.npos) {
         column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
@@ -600,7 +602,7 @@
     if (warm_keys && v.key != 0) {
       int i = keyed(v, now);
       // Where no word has come the usual time is no ground: one that met a crowd first turned all away.
-      bool full = takes(bes[i], now) > part_of(v) * keyed_share * prefix(v).target;
+      bool full = takes(bes[i], now, room_fade_ms) > part_of(v) * keyed_share * prefix(v).target;
       return asks_room && crowded_out(full) ? -1 : i;
     }
     if (look_column >= 0) {
@@ -620,8 +622,8 @@
       double stay = stays();
       if (!all_filled(0) || (stay > 0 && uniform() < stay && !all_filled(1))) std::erase_if(candidates, far);
     }
-    if (tells)
-      for (int i : candidates) bes[i].takes_now = takes(bes[i], now);
+    if (worded)
+      for (int i : candidates) bes[i].takes_now = takes(bes[i], now, word_fade_ms);
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
@@ -750,7 +752,7 @@
       double fee = far ? crossing * far_times * prefix(v).target : 0;
       auto weigh = [&](std::size_t k, double more) {
         const auto& be = bes[all[k].i];
-        double cost = takes(be, now) * (1 + be.out) + fee + more;
+        double cost = takes(be, now, word_fade_ms) * (1 + be.out) + fee + more;
         if (cost < least) least = cost, pick = all[k].i;
       };
       for (int n_of_two = 0; n_of_two < 2; ++n_of_two) weigh(static_cast<std::size_t>(uniform() * static_cast<double>(few)), 0);
@@ -831,26 +833,27 @@
   // The latest word on a server is the one that counts, whoever it is from: nothing adds up, so that nothing
   // that comes round is counted twice.
   void word(Be& be, const Fetch& f, const Gauge& gauge, double now) {
-    if (!tells) return;
+    if (!worded) return;
     bool ok = f.status == Status::delivered;
-    if (ok && depth_column < gauge.n && mean_column < gauge.n) {
+    if (ok && depth_column < gauge.n) {
       // The time that is told has waiting in it, and foretold little; what waits did.
       double ahead = std::max(0.0f, gauge.v[depth_column]) + 1;
       blend(mean_work, std::max(1.0, now - f.sent) / ahead, std::max(pace_gain, 1.0 / ++works));
-      double wait = ahead * mean_work;
+      double wait = ahead * std::sqrt(ahead) * mean_work;
       if (std::isfinite(wait)) {
         be.wait = wait;
-        usually(be);
+        usually(be, now, now);
         auto& kind = kind_mean[be.sku];
-        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) * (gauge.v[mean_column] / std::max(1.0, usual_wait) - kind.mean);
+        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) *
+                     (std::max(1.0, now - f.sent) / ahead / std::max(1.0, mean_work) - kind.mean);
       }
     }
     if (f.status == Status::full) be.wait = std::max(be.wait, 4 * usual_wait);
     // One that was known to take long is crowded, not sick: its keys would wander and cost all the more.
     bool crowd = f.status == Status::full;
     if (f.status == Status::timeout) {
-      crowd = 2 * takes(be, now) > now - f.sent;
-      be.wait = std::max(takes(be, now), now - f.sent);
+      crowd = 2 * takes(be, now, word_fade_ms) > now - f.sent;
+      be.wait = std::max(takes(be, now, word_fade_ms), now - f.sent);
     }
     be.sick = sick(be, now);
     if (!crowd) be.sick += sick_gain * (!ok - be.sick);
@@ -858,15 +861,19 @@
   }
 
   // The middle of what words say: a few long queues are not what is usual.
-  void usually(const Be& be) {
+  void usually(const Be& be, double when, double now) {
+    if (now - when > word_fade_ms) return;
+    usual_at = std::max(usual_at, when);
     double w = be.wait * be.weight / mean_weight;
     usual_wait = usual_wait == 0 ? w : usual_wait * std::exp(w > usual_wait ? room_gain : -room_gain);
   }
 
   // How long a visit is thought to take there: the latest word, less as it grows old.
-  [[nodiscard]] double takes(const Be& be, double now) const {
-    double usual = std::max(1.0, usual_wait * mean_weight / be.weight);
-    return be.wait > 0 ? usual + (be.wait - usual) * std::exp((be.word_at - now) / word_fade_ms) : usual;
+  [[nodiscard]] double takes(const Be& be, double now, double fade) const {
+    // Where all turn visits away no word comes, and the last ones told of a crowd long gone.
+    double since = std::exp((usual_at - now) / usual_fade_ms);
+    double usual = std::max(1.0, (mean_work + (usual_wait - mean_work) * since) * mean_weight / be.weight);
+    return be.wait > 0 ? usual + (be.wait - usual) * std::exp((be.word_at - now) / fade) : usual;
   }
 
   static std::uint8_t byte(double v) { return static_cast<std::uint8_t>(std::clamp(v, 0.0, 255.0)); }
@@ -882,7 +889,8 @@
     memo_at = now + memo_every_ms * (0.8 + 0.4 * uniform());
     std::vector<int> fresh;
     for (int i : listed)
-      if (now - bes[i].word_at < 255 * memo_age_ms) fresh.push_back(i);
+      if (now - bes[i].word_at < word_fade_ms + (bes[i].sick > sick_from ? sick_fade_ms : 0))
+        fresh.push_back(i);
     if (fresh.empty()) return;
     auto later = [this](int a, int b) { return bes[a].word_at > bes[b].word_at; };
     std::size_t n = std::min(fresh.size(), memo_most);
@@ -934,7 +942,7 @@
       be.sick = at(k + 4) / 255.0;
       be.wait = at(k + 3) > 0 ? wait_base_ms * std::exp((at(k + 3) - 1) * wait_step) : 0;
       // Heard too: one that turned all away for what it had met at the start learned nothing else.
-      if (be.wait > 0) usually(be);
+      if (be.wait > 0) usually(be, when, now);
     }
   }
 
@@ -951,7 +959,7 @@
 
   // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
   [[nodiscard]] double pull(const Be& be) const {
-    if (tells) return 1 / (be.takes_now * be.takes_now);
+    if (worded) return 1 / (be.takes_now * be.takes_now);
     return be.weight * std::exp(-(be.slow + slow_prior * kind_slow[be.sku]) / (be.seen + slow_prior));
   }
 
@@ -1137,7 +1145,7 @@
     // Where no copy may go beside it, a fetch that takes longer than nearly all is given up while another can
     // still be in time.
     double half = prefix(v).target / 2;
-    if (!second_copies && tells && v.sent < 2 && prefix(v).repeat != Repeat::mutating && slow_end < half &&
+    if (!second_copies && worded && v.sent < 2 && prefix(v).repeat != Repeat::mutating && slow_end < half &&
         slow_end > 0 && retries >= 1)
       p.limit = std::min(p.limit, half);
     if (v.out == 0) p.again = look_wait();
@@ -1349,10 +1357,10 @@
   bool some_run_again = false;  // among the path prefixes
   bool probing = false, counts_visits = false;
   int column = -1;       // of the load reports, where answers carry them
-  int depth_column = -1, mean_column = -1;
-  bool tells = false;  // memos are allowed
+  int depth_column = -1;
+  bool worded = false, tells = false;  // answers tell what waits; memos of it are allowed
   int me = 0;
-  double memo_at = 0, usual_wait = 0;
+  double memo_at = 0, usual_wait = 0, usual_at = 0;
   int look_column = -1;  // of those that only probes bring
   bool warm_keys = false;  // servers do a key they met of late for less
   std::array<Heard, keys_kept> heard{};
