--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -1,19 +1,19 @@
 // meadowgauge's decisions, all of them, with every constant one of them rests on.
 //
-// Callers hold a Brain for each balancer instance and ask it, as they would a client library: where() a visit
-// goes, what to do after() an outcome, how long to wait(). Lists, probes and ticks come in as plain calls.
 // The interface is defined in brain.hpp; docs/design.md gives the reasons. The mechanism is the caller-side
 // throttle over ten seconds of outcomes, then the idle-first pick.
 
 #include "brain/brain.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
 #include <random>
 #include <utility>
 
+#include "brain/facts.hpp"
+#include "brain/key_shares.hpp"
+
 namespace meadow {
 namespace {
 
@@ -56,8 +56,7 @@
 constexpr double mean_span = 0.5;
 constexpr double room_util = 0.6;     // a tier less busy than this has more room, by as much,
 constexpr double room_util_most = 2;  // up to this
-// Of many instances each may pass so many times that chance, while the tier is reported less busy than this;
-// up to so many of them each one's chance is about the tier's.
+// Of many instances each may pass so many times that chance, while the tier is less busy than this.
 constexpr double chance_util = 0.8, chance_most = 3, chance_alone = 3;
 constexpr double timely_least = 0.05;
 // Visits a server and tier from there down, of all instances, that are no crowd.
@@ -76,8 +75,7 @@
 constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
 constexpr double stay_span = 0.2;     // of reported load below room_util, over which a full part means less
 
-// Tenants: what one sends beyond both its quota and its part of the traffic goes first when there is too
-// little.
+// Tenants: what one sends beyond both its quota and its part goes first when there is too little.
 constexpr double extra_cut = 0.5;   // of the room
 constexpr double low_cut = 0.25;    // the same for path prefixes that earn less than the best
 constexpr double crowd_from = 0.2;  // share turned away from which both grow; whole at twice that
@@ -87,7 +85,7 @@
 // Repeats.
 constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
-constexpr double retry_all = 300;  // of all balancers together: a thousand with ten each doubled a crowd
+constexpr double retry_all = 300;   // of all balancers together: a thousand with ten each doubled a crowd
 constexpr double copy_after = 1.5;  // times the slow end of the answers, for a sick server's visits
 constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
 constexpr double last_ticks = 3;    // of the wire before a visit is due, in which it is fetched no more
@@ -95,54 +93,34 @@
 // Cold servers.
 constexpr double cold_safety = 0.5;
 constexpr double cold_burst = 1;
-constexpr double cold_few = 16;  // up to so many balancers each begins with one
+constexpr double cold_few = 16;        // up to so many balancers each begins with one
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
-// Looks: what probes and the load that answers carry tell of a server's visits.
-constexpr double probe_least = 1;  // probes a fetch of the first tier
-constexpr double probe_more = 16;  // so many more for the share of looks that finds a crowd
-constexpr double probe_most = 2;
-constexpr double deep_least = 0.1;  // the same below the first tier, where they are paid for every call
-constexpr double deep_more = 10;    // for the share that finds a jam
-constexpr double deep_most = 1;
-constexpr double jam_times = 2;  // the mean time taken: what waits longer than that finds a jam
-constexpr double probes_at_once = 8;
-constexpr double crowded_times = 2;  // times the usual load
-constexpr double crowded_gain = 0.1;
-constexpr double crowded_first = 0.3;
-constexpr double usual_gain = 0.05;
-constexpr double look_most_ms = 2000;  // older looks count for nothing
-
 // Where servers do for less what they met of late: which serve a key, and how many a popular one.
-constexpr double key_gain = 0.015;  // of one visit
-constexpr double key_prior = 5;     // visits before a share means anything: at first each is spread
-constexpr double key_first = 0.05;  // as if it had this share
-constexpr double key_spread = 1.3;  // times its share of the zone's servers
-constexpr int key_next = 2;         // the next in rank, where those look slower than doing it anew
-constexpr double key_anew = 2;      // of the usual time: what a server loses that has not met the key
+constexpr double key_gain = 0.015;   // of one visit
+constexpr double key_prior = 5;      // visits before a share means anything: at first each is spread
+constexpr double key_first = 0.05;   // as if it had this share
+constexpr double key_spread = 1.3;   // times its share of the zone's servers
+constexpr int key_next = 2;          // the next in rank, where those look slower than doing it anew
+constexpr double key_anew = 2;       // of the usual time: what a server loses that has not met the key
 constexpr double far_times = 1.5;    // of the target latency for each point that crossing costs
-constexpr double keyed_share = 0.5;   // of the target latency, as words are old and leave out much
+constexpr double keyed_share = 0.5;  // of the target latency, as words are old and leave out much
 constexpr double kind_least = 0.01;
-constexpr std::size_t keys_kept = 64;
 
 // What balancers tell each other of servers, where they may: the latest word on each, from whoever met it.
 constexpr double memo_every_ms = 400;
-constexpr std::size_t memo_entry = 6, memo_head = 5, memo_most = 36, memo_keys = 8, memo_key = 4;
-constexpr char memo_version = 1;
-constexpr double memo_age_ms = 50;     // a byte's unit
 constexpr double word_fade_ms = 3000;  // a word on how long a server takes
-constexpr double room_fade_ms = 1000;   // the same, where it turns visits away: a queue is gone sooner
-constexpr double usual_fade_ms = 500;   // and on what is usual, with no word at all
+constexpr double room_fade_ms = 1000;  // the same, where it turns visits away: a queue is gone sooner
+constexpr double usual_fade_ms = 500;  // and on what is usual, with no word at all
 constexpr double sick_fade_ms = 4000;  // a word that it fails
 constexpr double sick_gain = 0.4;      // of one outcome
 constexpr double sick_from = 0.25;     // above this it is passed over: one voice lasts under two seconds
-constexpr double wait_base_ms = 4, wait_step = 0.04;  // a byte's scale of times
 
 // Where only probes tell what a server holds, each visit has a few looked at before it goes.
 constexpr int looks_each = 5;
-constexpr double look_waits = 2;    // times a probe's usual time
-constexpr double look_fresh = 5;    // the same, for how long a look holds
-constexpr double far_load = 0.1;    // of a visit: the own zone's servers go first among equals
+constexpr double look_waits = 2;  // times a probe's usual time
+constexpr double look_fresh = 5;  // the same, for how long a look holds
+constexpr double far_load = 0.1;  // of a visit: the own zone's servers go first among equals
 constexpr double pace_gain = 0.02;
 constexpr double pace_least = 0.5, pace_most = 2;
 
@@ -156,12 +134,6 @@
 enum class Repeat : std::uint8_t { readlike, tagged, mutating };
 enum class Group : std::uint8_t { all, zone, cell };
 
-// A key's share of the tier's visits, as far as known; the least is given up for a new one.
-struct Heard {
-  std::uint32_t key = 0;
-  double share = 0;
-};
-
 struct Prefix {
   Repeat repeat = Repeat::mutating;
   Group group = Group::cell;
@@ -175,6 +147,11 @@
   double part_left = part_burst, quota_left = 0, at = 0;
 };
 
+struct Mean {
+  double value = 1;
+  int seen = 0;
+};
+
 struct Bucket {
   std::int64_t slot = -1;
   int total = 0, accepts = 0, failures = 0;
@@ -193,14 +170,14 @@
   double bench_until = 0, well_since = 0;
   int relapses = 0;
   bool trial = false;                   // back from the bench, one visit at a time
-  double load = 0, looked_at = -never;  // the last look; none once a visit went there
+  double load = 0, looked_at = -never;  // the last look, and what was sent since
   double tokens = cold_burst, tokens_at = 0, failed_at = -never;
-  double takes_now = 1;                 // worked out at each pick
-  std::uint32_t id = 0;                 // what memos call it
+  double takes_now = 1;                         // worked out at each pick
+  std::uint32_t id = 0;                         // what memos call it
   double wait = 0, sick = 0, word_at = -never;  // the latest word: how long a visit takes, whether it fails
-  bool shut = false;        // by an operator's hand
-  double shut_at = -never;  // and since when
-  double back_at = -never;  // put back, and not tried since
+  bool shut = false;                            // by an operator's hand
+  double shut_at = -never;                      // and since when
+  double back_at = -never;                      // put back, and not tried since
 };
 
 bool ran_maybe(const Fetch& f) {
@@ -211,107 +188,73 @@
 
 struct Brain::Core {
   Core(const Settings& s, std::uint64_t seed, double now) : settings(s), started(now) {
+    Facts facts(settings, lines);
     std::seed_seq words{static_cast<std::uint32_t>(seed), static_cast<std::uint32_t>(seed >> 32)};
     rng.seed(words);
-    int n = static_cast<int>(number("path_prefixes.count", 0));
+    int n = static_cast<int>(facts.number("path_prefixes.count", 0));
     for (int i = 0; i < n; ++i) {
       auto at = "path_prefixes." + std::to_string(i) + ".";
       Prefix p;
-      auto repeat = word(at + "repeat"), group = word(at + "group");
+      auto repeat = facts.word(at + "repeat"), group = facts.word(at + "group");
       p.repeat = repeat == "idempotent"     ? Repeat::readlike
                  : repeat == "deduplicated" ? Repeat::tagged
                                             : Repeat::mutating;
       p.group = group == "all" ? Group::all : group == "zone" ? Group::zone : Group::cell;
-      p.ttl = number(at + "key_ttl_ms", 0);
-      p.target = number(at + "target_latency_ms", 1000);
-      p.earnings = number(at + "earnings", 1);
+      p.ttl = facts.number(at + "key_ttl_ms", 0);
+      p.target = facts.number(at + "target_latency_ms", 1000);
+      p.earnings = facts.number(at + "earnings", 1);
       some_run_again = some_run_again || p.repeat != Repeat::mutating;
       top_earnings = std::max(top_earnings, p.earnings);
       prefixes.push_back(p);
     }
-    replicas = std::max(1.0, number("replicas_of_me", 1));
-    for (int i = 0; i < static_cast<int>(number("tenants.count", 0)); ++i) {
+    replicas = std::max(1.0, facts.number("replicas_of_me", 1));
+    for (int i = 0; i < static_cast<int>(facts.number("tenants.count", 0)); ++i) {
       auto at = "tenants." + std::to_string(i) + ".";
-      Tenant t{.share = number(at + "share", 1),
-               .quota = number(at + "quota_rps", 0) / 1000 / replicas,
+      Tenant t{.share = facts.number(at + "share", 1),
+               .quota = facts.number(at + "quota_rps", 0) / 1000 / replicas,
                .at = now};
       t.quota_left = t.quota * quota_burst_ms;
       tenants.push_back(t);
     }
     if (prefixes.empty()) prefixes.emplace_back();
-    max_fetches = std::clamp(static_cast<int>(number("limits.max_backend_fetches", 1)), 1, most_fetches);
-    read_reports();
-    probing = word("limits.probes") == "true" && column < 0 && look_column < 0;
+    max_fetches =
+        std::clamp(static_cast<int>(facts.number("limits.max_backend_fetches", 1)), 1, most_fetches);
+    column = facts.column("inline", "load_share");
+    depth_column = facts.column("inline", "depth");
+    if (facts.truth("limits.probes")) {
+      look_column = facts.column("on_probe", "concurrent");
+      if (look_column < 0) look_column = facts.column("on_probe", "depth");
+    }
     retries = retry_most = std::clamp(retry_all / replicas, 1.0, retry_burst);
-    probe_took = wire_tick = number("tick_ms", 5);
-    second_copies = word("limits.second_copies") == "true";
-    cancelling = word("limits.cancelling") == "true";
-    if (word("limits.retry_after") == "true") most_advice = number("limits.max_retry_after_ms", 0);
-    stage = number("stage", 0);
-    auto names = word("stages");
-    tiers = 1 + static_cast<double>(std::count(names.begin(), names.end(), ',')) - stage;
-    auto zones = word("zones");
-    double of_zone = replicas / (1 + static_cast<double>(std::count(zones.begin(), zones.end(), ',')));
+    probe_took = wire_tick = facts.number("tick_ms", 5);
+    second_copies = facts.truth("limits.second_copies");
+    cancelling = facts.truth("limits.cancelling");
+    if (facts.truth("limits.retry_after")) most_advice = facts.number("limits.max_retry_after_ms", 0);
+    stage = facts.number("stage", 0);
+    tiers = facts.listed("stages") - stage;
+    double of_zone = replicas / facts.listed("zones");
     near_full = near_times * room_floor * tiers / of_zone;
     others_here = std::max(0.0, 1 - 1 / of_zone);
     spill = beyond = spill_least / std::clamp(of_zone, 1.0, spill_over);
-    cold_share = std::clamp(number("rules.cold_share", 0.2), 0.01, 1.0);
-    warm_ms = number("rules.warm_after_ms", 20000);
-    overload_factor = number("rules.overload_factor", 2);
-    overload_for = number("rules.overload_for_ms", 1500);
-    weighted = word("weights") != "off" && word("weights") != "live";
-    zone = static_cast<int>(number("zone", 0));
-    crossing = number("fees.cross_zone", 0);
+    cold_share = std::clamp(facts.number("rules.cold_share", 0.2), 0.01, 1.0);
+    warm_ms = facts.number("rules.warm_after_ms", 20000);
+    overload_factor = facts.number("rules.overload_factor", 2);
+    overload_for = facts.number("rules.overload_for_ms", 1500);
+    weighted = facts.word("weights") != "off" && facts.word("weights") != "live";
+    zone = static_cast<int>(facts.number("zone", 0));
+    crossing = facts.number("fees.cross_zone", 0);
     crossing_costs = crossing > 0;
     worded = depth_column >= 0;
-    tells = worded && word("limits.peer_messages") == "true" && replicas > 1;
-    me = static_cast<int>(number("my_number", 0));
-    memo_at = now + uniform() * memo_every_ms;
-    warm_keys = word("specifics.warm_keys") == "true";
-    asks = word("discovery") == "subscribe";
-    ask_within = number("rules.ask_within_ms", 10000);
+    tells = worded && facts.truth("limits.peer_messages") && replicas > 1;
+    me = static_cast<int>(facts.number("my_number", 0));
+    if (tells) memo_at = now + uniform() * memo_every_ms;
+    warm_keys = facts.truth("specifics.warm_keys");
+    asks = facts.word("discovery") == "subscribe";
+    ask_within = facts.number("rules.ask_within_ms", 10000);
     // Hundreds that start together would wear the list out; the one they start with serves meanwhile.
     ask_at = now + uniform() * std::min(ask_first_ms + ask_each_ms * replicas, ask_within / 3);
   }
 
-  // --- Settings -------------------------------------------------------------------------------------------
-  [[nodiscard]] std::string_view word(const std::string& name) const {
-    auto it = settings.find(name);
-    return it == settings.end() ? std::string_view{} : std::string_view{it->second};
-  }
-
-  double number(const std::string& name, double otherwise) {
-    auto text = word(name);
-    if (text.empty()) return otherwise;
-    double v = 0;
-    auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), v);
-    if (bad == std::errc{} && end == text.data() + text.size() && std::isfinite(v)) return v;
-    lines.push_back("setting " + name + " can't be read: " + std::string(text));
-    return otherwise;
-  }
-
-  // Load reports in answers: the visits a server holds tell most, else how busy it is.
-  void read_reports() {
-    auto columns = word("report.columns");
-    if (word("report.how") == "on_probe" && word("limits.probes") == "true")
-      for (std::string_view name : {"concurrent", "depth"})
-        if (auto at = columns.find(name); look_column < 0 && at != columns.npos)
-          look_column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
-    if (word("report.how") != "inline") return;
-    auto place = [&](std::string_view name) {
-      auto at = columns.find(name);
-      return at == columns.npos
-                 ? -1
-                 : static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
-    };
-    depth_column = place("depth");
-    for (std::string_view name : {"concurrent", "load_share"})
-      if (auto at = columns.find(name); column < 0 && at != columns.npos) {
-        column = static_cast<int>(std::count(columns.begin(), columns.begin() + at, ','));
-        counts_visits = name == "concurrent";
-      }
-  }
-
   double uniform() { return static_cast<double>(rng()) / 4294967296.0; }
   Prefix& prefix(const Visit& v) {
     return prefixes[std::clamp(v.prefix, 0, static_cast<int>(prefixes.size()) - 1)];
@@ -405,11 +348,7 @@
     }
     double good = 0, bad = 0.2;
     for (int j : listed)
-      if (j != i) {
-        fade(bes[j], now);
-        good += bes[j].good;
-        bad += bes[j].bad;
-      }
+      if (j != i) fade(bes[j], now), good += bes[j].good, bad += bes[j].bad;
     double peers = bad / (good + bad + 1);
     // One bad server is not a tier without capacity: it leaves the picks and its outcomes leave the throttle.
     if (be.bench_until <= now && (be.trial || be.bad / (be.bad + be.good) > bad_margin + bad_times * peers)) {
@@ -465,23 +404,18 @@
     mean_out += std::max(room_gain, 1.0 / ++arrivals) * (out_all - mean_out);
     double part = part_of(v);
     // A visit holds its server while the tiers below work, so the number that is no crowd grows with them.
-    // What small instances may hold on top of it for chance adds up over them: only while the mean is under
-    // it.
+    // What small instances may hold on top of it for chance adds up over them.
     double few = ready * part * room_floor * tiers / replicas;
     if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
     double bound = std::min(room_share * prefix(v).target, room_times * calm);
-    // Chance is left out once the tier looks crowded: by times, or by the visits that servers
-    // report. What is given up on never shows its time: the delivered ones alone look quick in a jam.
+    // Chance is left out once the tier looks crowded. What is given up on never shows its time.
     double over = calm > 0 ? late_took / bound / timely : 0;
     double full = (over - 1) / crowd_times;
-    if (counts_visits) full = std::max(full, 2 * usual_load / (room_floor * tiers) - 1);
     double chance = room_chance * (1 - std::clamp(full, 0.0, 1.0));
     double mean_full = std::clamp((mean_out / few - mean_from) / mean_span, 0.0, 1.0);
     if (out_all < few + std::min(chance, room_chance * (1 - mean_full)) * std::sqrt(few)) return true;
     if (calm == 0) return false;
-    // What chance puts on one of many it does not put on the tier: while answers tell of one that has time
-    // left, more of it passes. Numbers over few answers turned away a jump of visits that the tier could
-    // bear.
+    // What chance puts on one of many it does not put on the tier: while that has time left, more passes.
     double few_of = std::sqrt(std::max(1.0, replicas / chance_alone));
     double wide = tier_util > 0 ? std::clamp(chance_util / tier_util, 1.0, std::min(few_of, chance_most)) : 1;
     return out_all + 1 <= part * (late_held / over + wide * chance * std::sqrt(late_held));
@@ -566,8 +500,7 @@
     candidates.clear();
     double others = 0;
     int known = 0, ready = 0, sick = 0;
-    // A trial of a server that may still fail costs a mutating visit, and nothing where the visit may run
-    // again: of such there are few enough servers on trial to wait for one.
+    // A trial of a server that may still fail costs a mutating visit, and nothing one that may run again.
     bool lost_if_bad = some_run_again && prefix(v).repeat == Repeat::mutating;
     warm_ready = 0;
     for (int i : listed) warm_ready += open(bes[i]) && !cold(bes[i], now);
@@ -575,10 +508,7 @@
       auto& be = bes[i];
       if (!open(be)) continue;
       ++ready;
-      if (!be.fresh) {
-        others += be.out;
-        ++known;
-      }
+      if (!be.fresh) others += be.out, ++known;
       if (cold(be, now)) refill(be, now);
       if (tried(v, i)) continue;
       if (!usable(be, now) || (lost_if_bad && be.trial && now < be.bench_until + trial_waits_ms))
@@ -601,7 +531,6 @@
       if (bes[i].back_at > -never && (!lost_if_bad || now - bes[i].back_at > back_waits_ms)) return i;
     if (warm_keys && v.key != 0) {
       int i = keyed(v, now);
-      // Where no word has come the usual time is no ground: one that met a crowd first turned all away.
       bool full = takes(bes[i], now, room_fade_ms) > part_of(v) * keyed_share * prefix(v).target;
       return asks_room && crowded_out(full) ? -1 : i;
     }
@@ -611,8 +540,7 @@
     }
     if (crossing_costs && uniform() >= spill) {
       auto far = [this](int i) { return bes[i].zone != zone; };
-      // Reports tell of a zone with more traffic than servers a second late, and by then its servers were
-      // choked: at the start of a day it turned away three in four. Own visits tell at once.
+      // Reports tell a second late of a zone with more traffic than servers; own visits tell at once.
       auto filled = [this](int i, double on_top) {
         return bes[i].zone != zone || bes[i].out >= near_full + on_top;
       };
@@ -627,8 +555,7 @@
     double mean = known > 0 ? others / known : 0;
     auto held = [&](int i) { return bes[i].fresh ? std::max<double>(bes[i].out, mean) : bes[i].out; };
     double idle = 0, all = 0;
-    int pick = looked(now, held);
-    if (pick >= 0) return pick;
+    int pick = -1;
     for (int i : candidates)
       if (held(i) < 0.5)
         if (double p = pull(bes[i]); uniform() * (idle += p) < p) pick = i;
@@ -684,48 +611,6 @@
   }
   [[nodiscard]] double look_wait() const { return wire_tick + look_waits * probe_took; }
 
-  static std::uint64_t mixed(std::uint64_t x) {
-    x += 0x9e3779b97f4a7c15;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111eb;
-    return x ^ (x >> 31);
-  }
-
-  static std::uint32_t short_key(std::uint64_t key) { return static_cast<std::uint32_t>(mixed(key) & 0xffffff); }
-
-  Heard& heard_of(std::uint32_t key) {
-    Heard* least = heard.data();
-    for (auto& h : heard) {
-      if (h.key == key) return h;
-      if (h.share < least->share) least = &h;
-    }
-    return *least;
-  }
-
-  // The share that a key has of late among this instance's visits, evened out with what the others tell.
-  double heard_share(std::uint64_t key) {
-    double doubt = key_prior / (key_prior + ++heard_all), gain = std::max(key_gain, doubt / key_prior);
-    auto id = short_key(key);
-    for (auto& h : heard) h.share *= 1 - gain;
-    auto& h = heard_of(id);
-    if (h.key != id) h = {.key = id};
-    double before = h.share;
-    h.share += gain;
-    return before + key_first * doubt * doubt;
-  }
-
-  // Means of two tell no more than was there; what the other does not name has no more than its least.
-  void even_out(const std::vector<Heard>& told) {
-    if (told.empty()) return;
-    for (auto& h : heard) {
-      auto it = std::find_if(told.begin(), told.end(), [&](const Heard& t) { return t.key == h.key; });
-      h.share = (h.share + (it != told.end() ? it->share : std::min(h.share, told.back().share))) / 2;
-    }
-    for (const auto& t : told)
-      if (auto& h = heard_of(t.key); h.key != t.key && h.share < t.share / 2)
-        h = {.key = t.key, .share = t.share / 2};
-  }
-
   // The server for a key: all balancers rank servers alike by hashes, the more powerful kinds higher. A key
   // goes to the first near one, a popular one to the lesser of two of the first few; to the next in rank, or
   // to those it has in another zone, where that is quicker by more than it costs.
@@ -735,9 +620,9 @@
     for (int i : candidates) {
       std::uint64_t h = mixed(v.key ^ mixed(bes[i].id + 1ull));
       double u = (static_cast<double>(h >> 12) + 0.5) / 4503599627370496.0;
-      ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_mean[bes[i].sku].mean, i});
+      ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_time[bes[i].sku].value, i});
     }
-    double share = heard_share(v.key);
+    double share = keys.came(v.key) + key_first * keys.doubt() * keys.doubt();
     int pick = -1;
     double least = never;
     for (std::size_t far : {0, 1}) {
@@ -746,84 +631,43 @@
           1, static_cast<std::size_t>(std::ceil(share * static_cast<double>(all.size()) * key_spread)));
       auto n = std::min(all.size(), few + key_next);
       if (n == 0) continue;
-      std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end(),
-                        [](const Rank& a, const Rank& b) { return a.at < b.at; });
+      std::partial_sort(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(n), all.end());
       few = std::min(few, all.size());
       double fee = far ? crossing * far_times * prefix(v).target : 0;
       auto weigh = [&](std::size_t k, double more) {
-        const auto& be = bes[all[k].i];
+        const auto& be = bes[all[k].second];
         double cost = takes(be, now, word_fade_ms) * (1 + be.out) + fee + more;
-        if (cost < least) least = cost, pick = all[k].i;
+        if (cost < least) least = cost, pick = all[k].second;
       };
-      for (int n_of_two = 0; n_of_two < 2; ++n_of_two) weigh(static_cast<std::size_t>(uniform() * static_cast<double>(few)), 0);
+      auto any = [&] { return static_cast<std::size_t>(uniform() * static_cast<double>(few)); };
+      weigh(any(), 0), weigh(any(), 0);
       for (auto k = few; k < n; ++k) weigh(k, key_anew * usual_wait);
     }
     return pick;
   }
 
-  // A part of under one visit is full with a single one, which then says little of what the zone holds. By
-  // the share of its instances that are not this one, a second one goes to each near server while answers
-  // tell of a zone that is neither busy nor busier than the others. Without that bound servers choked by the
-  // dozen.
+  // A part of under one visit is full with a single one, which says little of what the zone holds: by the
+  // share of its instances that are not this one a second goes near, while the zone is not busy. Without
+  // that bound servers choked by the dozen.
   [[nodiscard]] double stays() const {
     if (others_here == 0 || near_util == 0 || far_util == 0) return 0;
     double busier = std::clamp((near_util / far_util - 1) / (zone_slower - 1), 0.0, 1.0);
     return others_here * (1 - busier) * std::clamp((room_util - near_util) / stay_span, 0.0, 1.0);
   }
 
-  // At size own visits say nothing of most servers: then the idle one with the least load by a fresh look
-  // goes first, if that is no more than usual, and those with more are passed over. A look is fresh until
-  // this instance would have met the server anyway, and is used up by one visit, so that no crowd follows it.
-  template <class Held>
-  int looked(double now, Held held) {
-    const double fresh = std::min(look_most_ms, 1 / warm_rate);
-    int pick = -1;
-    for (int i : candidates) {
-      const auto& be = bes[i];
-      if (now - be.looked_at < fresh && be.load <= usual_load && held(i) < 0.5 &&
-          (pick < 0 || be.load < bes[pick].load))
-        pick = i;
-    }
-    if (pick >= 0) return pick;
-    auto crowd = [&](int i) { return now - bes[i].looked_at < fresh && bes[i].load > usual_load; };
-    if (!std::all_of(candidates.begin(), candidates.end(), crowd)) std::erase_if(candidates, crowd);
-    return -1;
-  }
-
-  // A look at a server: how many visits it reports, or how long a probe took. One that failed is no measure
-  // of the usual load: it was taken for it once, and all servers looked calm ever after.
-  void look(Be& be, double load, double now) {
-    be.load = load;
-    be.looked_at = now;
-    jammed += crowded_gain * ((mean_took > 0 && load > jam_times * mean_took) - jammed);
-    crowded += crowded_gain * ((usual_load > 0 && load > crowded_times * usual_load) - crowded);
-    if (usual_load > 0)
-      usual_load *= std::exp(load > usual_load ? usual_gain : -usual_gain);
-    else if (load < never)
-      usual_load = load;
-  }
-
   void probed(int i, Status status, double took, const Gauge& gauge, double now) {
-    if (look_column >= 0 && i >= 0 && i < static_cast<int>(bes.size())) {
-      auto& be = bes[i];
-      bool told = status == Status::delivered && look_column < gauge.n && gauge.v[look_column] >= 0;
-      be.load = told ? gauge.v[look_column] : never;
-      be.looked_at = now;
-      if (told) probe_took += pace_gain * (took - probe_took);
-      return;
-    }
-    if (i >= 0 && i < static_cast<int>(bes.size()) && column < 0)
-      look(bes[i], status == Status::delivered ? std::max(took, 0.01) : never, now);
+    if (look_column < 0 || i < 0 || i >= static_cast<int>(bes.size())) return;
+    bool told = status == Status::delivered && look_column < gauge.n && gauge.v[look_column] >= 0;
+    bes[i].load = told ? gauge.v[look_column] : never;
+    bes[i].looked_at = now;
+    if (told) probe_took += pace_gain * (took - probe_took);
   }
 
-  // The load that a delivered answer carries. Where it is only how busy a server is, and late, all would
-  // follow it to the same one: it tells of the tier and of the zones, not of the server.
+  // How busy answers say a server is, late: all would follow it to the same one, so it tells of the tier.
   void reported(Be& be, const Gauge& gauge, double now) {
     if (column < 0 || column >= gauge.n || !(gauge.v[column] >= 0) || !std::isfinite(gauge.v[column])) return;
-    if (counts_visits) return look(be, (gauge.v[column] + 1) / be.weight, now);
     blend(tier_util, gauge.v[column], room_gain);
-    // By what came meanwhile, and where little comes by the time: at one balancer of many the few visits that
-    // cross told of the other zones half a minute late, and the own one looked busier all that time.
+    // Where little comes by the time: the few visits that cross told of other zones half a minute late.
     auto& told = be.zone == zone ? near_told : far_told;
     double gain = std::clamp(1 - std::exp((told - now) / util_fresh_ms), room_gain, util_gain_most);
     blend(be.zone == zone ? near_util : far_util, gauge.v[column], gain);
@@ -843,9 +687,9 @@
       if (std::isfinite(wait)) {
         be.wait = wait;
         usually(be, now, now);
-        auto& kind = kind_mean[be.sku];
-        kind.mean += std::max(kind_least, 1.0 / ++kind.seen) *
-                     (std::max(1.0, now - f.sent) / ahead / std::max(1.0, mean_work) - kind.mean);
+        auto& kind = kind_time[be.sku];
+        kind.value += std::max(kind_least, 1.0 / ++kind.seen) *
+                      (std::max(1.0, now - f.sent) / ahead / std::max(1.0, mean_work) - kind.value);
       }
     }
     if (f.status == Status::full) be.wait = std::max(be.wait, 4 * usual_wait);
@@ -876,14 +720,6 @@
     return be.wait > 0 ? usual + (be.wait - usual) * std::exp((be.word_at - now) / fade) : usual;
   }
 
-  static std::uint8_t byte(double v) { return static_cast<std::uint8_t>(std::clamp(v, 0.0, 255.0)); }
-
-  static std::uint16_t sum(std::string_view bytes) {
-    std::uint32_t a = 1, b = 0;
-    for (unsigned char c : bytes) a = (a + c) % 251, b = (b + a) % 251;
-    return static_cast<std::uint16_t>(b << 8 | a);
-  }
-
   void memo(std::vector<Memo>& memos, double now) {
     if (!tells || now < memo_at) return;
     memo_at = now + memo_every_ms * (0.8 + 0.4 * uniform());
@@ -893,70 +729,36 @@
         fresh.push_back(i);
     if (fresh.empty()) return;
     auto later = [this](int a, int b) { return bes[a].word_at > bes[b].word_at; };
-    std::size_t n = std::min(fresh.size(), memo_most);
-    std::partial_sort(fresh.begin(), fresh.begin() + static_cast<std::ptrdiff_t>(n), fresh.end(), later);
-    std::string m{memo_version, 0, 0, 0, 0};
-    for (std::size_t k = 0; k < n; ++k) {
-      const auto& be = bes[fresh[k]];
-      for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(be.id >> shift));
-      m.push_back(static_cast<char>(
-          be.wait > 0 ? byte(1 + std::log(std::max(1.0, be.wait / wait_base_ms)) / wait_step) : 0));
-      m.push_back(static_cast<char>(byte(be.sick * 255)));
-      m.push_back(static_cast<char>(byte((now - be.word_at) / memo_age_ms)));
-    }
-    m[1] = static_cast<char>(n);
-    auto top = heard;
-    std::sort(top.begin(), top.end(), [](const Heard& a, const Heard& b) { return a.share > b.share; });
-    for (std::size_t k = 0; k < memo_keys && top[k].share > 0; ++k, ++m[4]) {
-      for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(top[k].key >> shift));
-      m.push_back(static_cast<char>(byte(std::sqrt(top[k].share) * 255)));
+    std::sort(fresh.begin(), fresh.end(), later);
+    fresh.resize(std::min(fresh.size(), memo_words));
+    Told told{.words = {}, .keys = keys.greatest()};
+    for (int i : fresh) {
+      const auto& be = bes[i];
+      told.words.push_back({.id = be.id, .wait = be.wait, .sick = be.sick, .age = now - be.word_at});
     }
-    auto check = sum(std::string_view(m).substr(memo_head));
-    m[2] = static_cast<char>(check), m[3] = static_cast<char>(check >> 8);
     int to = static_cast<int>(uniform() * (replicas - 1));
-    memos.push_back({.to = to + (to >= me), .bytes = std::move(m)});
-  }
-
-  // What is torn, foreign or of another version changes nothing; of a server that is not in the own list
-  // nothing is kept.
-  void heard_memo(std::string_view m, double now) {
-    auto at = [&](std::size_t i) { return static_cast<unsigned char>(m[i]); };
-    if (!tells || m.size() < memo_head || m[0] != memo_version) return;
-    if (at(1) > memo_most || at(4) > memo_keys) return;
-    const std::size_t end = memo_head + at(1) * memo_entry;
-    if (m.size() != end + at(4) * memo_key) return;
-    if (sum(m.substr(memo_head)) != (at(2) | at(3) << 8)) return;
-    auto id_at = [&](std::size_t k) -> std::uint32_t { return at(k) | at(k + 1) << 8 | at(k + 2) << 16; };
-    std::vector<Heard> told;
-    for (std::size_t k = end; k < m.size(); k += memo_key)
-      told.push_back({.key = id_at(k), .share = at(k + 3) / 255.0 * at(k + 3) / 255.0});
-    even_out(told);
-    for (std::size_t k = memo_head; k < end; k += memo_entry) {
-      std::uint32_t id = id_at(k);
-      auto it = by_id.find(id);
-      if (it == by_id.end()) continue;
-      auto& be = bes[it->second];
-      double when = now - (at(k + 5) + 1) * memo_age_ms;
-      if (be.standing == Standing::gone || when <= be.word_at || when <= be.up_since) continue;
+    memos.push_back({.to = to + (to >= me), .bytes = write_memo(told)});
+  }
+
+  // Of a server that is not in the own list nothing is kept: hearsay lets nobody send.
+  void heard_memo(std::string_view bytes, double now) {
+    auto told = tells ? read_memo(bytes) : std::nullopt;
+    if (!told) return;
+    keys.even_out(told->keys);
+    for (const auto& w : told->words) {
+      auto it = std::find_if(listed.begin(), listed.end(), [&](int i) { return bes[i].id == w.id; });
+      if (it == listed.end()) continue;
+      auto& be = bes[*it];
+      double when = now - w.age;
+      if (when <= be.word_at || when <= be.up_since) continue;
       be.word_at = when;
-      be.sick = at(k + 4) / 255.0;
-      be.wait = at(k + 3) > 0 ? wait_base_ms * std::exp((at(k + 3) - 1) * wait_step) : 0;
+      be.sick = w.sick;
+      be.wait = w.wait;
       // Heard too: one that turned all away for what it had met at the start learned nothing else.
       if (be.wait > 0) usually(be, when, now);
     }
   }
 
-  // Probes for this tick, of servers not looked at lately.
-  void choose_probes(std::vector<int>& chosen, double now) {
-    for (probes_due = std::min(probes_due, probes_at_once); probes_due >= 1; probes_due -= 1) {
-      int i = listed[rng() % listed.size()];
-      const auto& be = bes[i];
-      if (open(be) && !cold(be, now) && (!crossing_costs || be.zone == zone) &&
-          now - be.looked_at > look_most_ms)
-        chosen.push_back(i);
-    }
-  }
-
   // A server's part of the draws: its listed weight, less the slower than its peers it has been of late.
   [[nodiscard]] double pull(const Be& be) const {
     if (worded) return 1 / (be.takes_now * be.takes_now);
@@ -1018,21 +820,13 @@
     auto& be = bes[i];
     if (cold(be, now) && !seen_idle(be, now)) be.tokens = std::max(0.0, be.tokens - 1);
     float time = fresh_look(be, now) ? static_cast<float>(expected(v, be, now)) : 0;
-    if (look_column < 0)
-      be.looked_at = -never;
-    else
-      be.load += 1;
+    be.load += 1;
     be.back_at = -never;
     v.fetches[v.sent++] = {
         .be = i, .sent = now, .status = Status::moot, .held = out_all + 1, .out = true, .expected = time};
     ++v.out;
     // Its server has nothing to do while a body is still coming, and may be silent all that time.
     if (!v.coming) hold(v.fetches[v.sent - 1], now);
-    // Looks are worth as much as own visits are stale: all where a server is met once in `evidence_ms`,
-    // little where it is met all the time, nothing to an instance that is alone.
-    double rate = stage == 0 ? std::min(probe_most, probe_least + probe_more * crowded)
-                             : std::min(deep_most, deep_least + deep_more * jammed);
-    probes_due += (1 - 1 / replicas) * std::min(1.0, 1 / (warm_rate * evidence_ms)) * rate;
     return {.kind = Answer::fetch, .be = i};
   }
 
@@ -1046,8 +840,7 @@
       if (v.work > 0) blend(mean_work, v.work, pace_gain);
       if (throttled(v, now)) return finish(v, now);
     } else if (v.out > 0) {
-      // A visit that takes long mostly is much work, which a copy would do twice; only one whose server has
-      // come to look sick since is sent elsewhere beside it.
+      // What takes long mostly is much work, which a copy would do twice: only a sick server is a reason.
       const auto& be = bes[v.fetches[v.sent - 1].be];
       if (!copies(v)) return {};
       if (!(benched(be, now) || silent(be, now)) || !again(Status::timeout, now))
@@ -1082,9 +875,8 @@
       return a;
     }
     if (v.out > 0 || v.streaming) return a;
-    // What never came up cost nobody work: going on from it multiplies nothing, and is not of the budget.
-    // While a server could not be reached the budget ran out, and visits that any other could have served
-    // were bounced.
+    // What never came up cost nobody work, and is not of the budget: it ran out while a server could not be
+    // reached, and visits that any other could have served were bounced.
     bool unreached = rt.status == Status::unreachable;
     if (unreached || again(rt.status, now)) {
       if (ask_looks(v, a, now)) return a;
@@ -1108,8 +900,7 @@
   void note(const Fetch& f, Prefix& p, double now) {
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
-    // Also what was cancelled: the server may work on, and a cold one that is all there is must not get the
-    // next.
+    // Also what was cancelled: the server may work on.
     if (!ok) be.failed_at = now;
     if (f.status == Status::cancelled || f.status == Status::moot) return;
     if (ok || f.status == Status::timeout)
@@ -1142,14 +933,15 @@
   Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
-    // Where no copy may go beside it, a fetch that takes longer than nearly all is given up while another can
-    // still be in time.
+    // Where no copy may go beside it, a fetch that takes longer than nearly all is given up in time for
+    // another.
     double half = prefix(v).target / 2;
     if (!second_copies && worded && v.sent < 2 && prefix(v).repeat != Repeat::mutating && slow_end < half &&
         slow_end > 0 && retries >= 1)
       p.limit = std::min(p.limit, half);
     if (v.out == 0) p.again = look_wait();
-    if (copies(v) && v.out == v.sent && v.out > 0) p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
+    if (copies(v) && v.out == v.sent && v.out > 0)
+      p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
     return p;
   }
 
@@ -1160,10 +952,8 @@
   // --- News -----------------------------------------------------------------------------------------------
   void list(ListKind kind, std::span<const Entry> entries, double now) {
     if (kind == ListKind::failed) {
-      subscribed = false;
-      asked = false;
-      schedule_ask(now);
-      return;
+      subscribed = asked = false;
+      return schedule_ask(now);
     }
     if (kind != ListKind::cached) {
       if (failures > 2) lines.push_back("the list of upstreams answers again");
@@ -1184,18 +974,16 @@
             Be{.out = be.out, .shut = be.shut, .shut_at = be.shut_at, .back_at = known ? be.back_at : -never};
         be.waiting_since = now;
         be.tokens_at = now;
-        // A whole token with each of hundreds is a burst that pushes it over at its start: as much as the
-        // rule's span bears is there at once, the rest comes evenly.
+        // A whole token with each of hundreds pushed servers over at their start: the rest comes evenly.
         double part = warm_rate * overload_factor * cold_share * cold_safety * overload_for;
         if (uniform() >= std::max(part, cold_few / replicas)) be.tokens = uniform();
       }
       be.zone = e.zone;
       be.pod = e.pod;
-      be.id = e.id;
-      by_id[e.id & 0xffffff] = e.be;
+      be.id = e.id & 0xffffff;
       be.sku = std::max(0, e.sku);
       if (be.sku >= static_cast<int>(kind_slow.size())) kind_slow.resize(be.sku + 1);
-      kind_mean.resize(kind_slow.size());
+      kind_time.resize(kind_slow.size());
       be.weight = weighted && e.weight > 0 ? e.weight : 1;
       be.up_since = std::max(be.up_since, e.up_since);
       be.standing = e.standing;
@@ -1208,8 +996,7 @@
     std::erase_if(listed, [this](int i) { return bes[i].standing == Standing::gone; });
   }
 
-  // The least that a mean has been. Under a load that the bound holds back, slower is not calmer: it stays
-  // then.
+  // The least that a mean has been; it stays under a load that the bound holds back.
   void settle(double& least, double mean) const {
     if (least == 0 || mean < least)
       least = mean;
@@ -1240,14 +1027,13 @@
             .back_at = now};
   }
 
-  // What a successor would learn anew at its visits' cost: the tier's calm and usual times and numbers, and
-  // who is on the bench. Outcomes of the window, budgets and what is out are its own.
+  // What a successor would learn anew at its visits' cost. Outcomes, budgets and what is out are its own.
   template <class Self, class F>
   static void each_lesson(Self& s, F f) {
     f("mean_took", s.mean_took), f("calm", s.calm), f("late_took", s.late_took), f("late_held", s.late_held);
     f("slow_end", s.slow_end), f("mean_out", s.mean_out), f("timely", s.timely), f("spill", s.spill);
     f("tier_util", s.tier_util), f("near_util", s.near_util), f("far_util", s.far_util);
-    f("near_took", s.near_took), f("far_took", s.far_took), f("usual_load", s.usual_load);
+    f("near_took", s.near_took), f("far_took", s.far_took);
     for (std::size_t i = 0; i < s.prefixes.size(); ++i)
       f("pace." + std::to_string(i), s.prefixes[i].log_took);
   }
@@ -1296,13 +1082,9 @@
 
   Chores tick(double now) {
     Chores c;
-    if (asks && asked && now - asked_at > ask_silent_ms) {
-      asked = false;
-      schedule_ask(now);
-    }
+    if (asks && asked && now - asked_at > ask_silent_ms) asked = false, schedule_ask(now);
     if (asks && !subscribed && !asked && now >= ask_at) {
-      c.subscribe = true;
-      asked = true;
+      c.subscribe = asked = true;
       asked_at = now;
     }
     if (answers >= calm_after) settle(calm, mean_took);
@@ -1312,17 +1094,13 @@
                                    : (near_took > zone_slower * far_took ? spill_up / spill_gain : -1);
       spill = std::clamp(spill + std::max(spill_gain * fuller, -spill_down), beyond, 1.0);
     }
-    if (probing && !listed.empty()) choose_probes(c.probe, now);
     memo(c.memos, now);
     double warm = 0;
     int n = 0;
     double f = std::exp(-tick_ms / evidence_ms);
     for (int i : listed) {
       bes[i].rate *= f;
-      if (open(bes[i]) && !cold(bes[i], now)) {
-        warm += bes[i].rate;
-        ++n;
-      }
+      if (open(bes[i]) && !cold(bes[i], now)) warm += bes[i].rate, ++n;
     }
     double seen = evidence_ms * (1 - std::exp(-(now - started + 1) / evidence_ms));
     if (n > 0) warm_rate = warm / n / seen;
@@ -1333,8 +1111,7 @@
       lines.emplace_back(text);
       said = now;
     }
-    c.lines = std::move(lines);
-    lines.clear();
+    c.lines = std::exchange(lines, {});
     return c;
   }
 
@@ -1352,43 +1129,23 @@
   double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
          late_held = 0, late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
          overload_factor = 2, overload_for = 1500;
-  double ask_within = 10000;
-
-  bool some_run_again = false;  // among the path prefixes
-  bool probing = false, counts_visits = false;
-  int column = -1;       // of the load reports, where answers carry them
-  int depth_column = -1;
-  bool worded = false, tells = false;  // answers tell what waits; memos of it are allowed
-  int me = 0;
-  double memo_at = 0, usual_wait = 0, usual_at = 0;
-  int look_column = -1;  // of those that only probes bring
+  bool some_run_again = false;                           // among the path prefixes
+  int column = -1, depth_column = -1, look_column = -1;  // of load reports: see the constructor
+  bool worded = false, tells = false;                    // answers tell what waits; memos of it are allowed
+  int me = 0, works = 0;
+  double memo_at = 0, usual_wait = 0, usual_at = 0, last_passed = -never, ask_within = 10000;
   bool warm_keys = false;  // servers do a key they met of late for less
-  std::array<Heard, keys_kept> heard{};
-  double heard_all = 0;
-  struct Rank {
-    double at;
-    int i;
-  };
-  std::array<std::vector<Rank>, 2> ranked;  // near and far ones, for the key in hand
-  struct Kind {
-    double mean = 1;
-    int seen = 0;
-  };
-  std::vector<Kind> kind_mean = {{}};
-  double crossing = 0;
-  int works = 0;
-  double probe_took = 0, mean_work = 0, pace = 1;
-  double probes_due = 0, crowded = crowded_first, jammed = 0, usual_load = 0;
+  KeyShares keys{key_gain, key_prior};
+  std::array<std::vector<std::pair<double, int>>, 2> ranked;  // near and far ones, for the key in hand
+  std::vector<Mean> kind_time = {{}};                         // of the mean work, by kind
+  double crossing = 0, probe_took = 0, mean_work = 0, pace = 1;
   double tier_util = 0, near_util = 0, far_util = 0, near_told = -never, far_told = -never, mean_out = 0,
          timely = 1;
   std::int64_t arrivals = 0;
   std::array<Bucket, buckets> window{};
-  double last_passed = -never;
   std::vector<Be> bes;
-  std::vector<int> listed;
-  std::map<std::uint32_t, int> by_id;
+  std::vector<int> listed, candidates;
   std::vector<double> kind_slow = {0};
-  std::vector<int> candidates;
   double last_answer = -never, turned_away = 0, slow_end = 0, warm_rate = 0;
   double retries = retry_burst, retry_most = retry_burst;
   bool subscribed = false, asked = false;
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -36,8 +36,8 @@
   int pod = 0;
   Standing standing = Standing::ready;
   double weight = 0;
-  double up_since = 0;  // 0: long ago
-  bool shut = false;    // out by an operator's hand
+  double up_since = 0;   // 0: long ago
+  bool shut = false;     // out by an operator's hand
   std::uint32_t id = 0;  // the same at every balancer
 };
 
@@ -142,7 +142,7 @@
   void list(ListKind kind, std::span<const Entry> entries, double now);
   void probed(int be, Status status, double took, const Gauge& gauge, double now);
   void heard(std::string_view memo, double now);  // from another balancer, if it is one
-  Chores tick(double now);  // every tick_every() ms
+  Chores tick(double now);                        // every tick_every() ms
   [[nodiscard]] double tick_every() const;
   // An operator takes a server out, or puts it back.
   void shut(int be, bool out, double now);
--- /dev/null
+++ b/src/brain/memo.cpp
@@ -0,0 +1,64 @@
+#include "brain/memo.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace meadow {
+namespace {
+
+constexpr char version = 1;
+constexpr std::size_t head = 5, word_size = 6, key_size = 4;
+constexpr double age_unit = 50, wait_base = 4, wait_step = 0.04;  // a byte's scales
+
+char byte(double v) { return static_cast<char>(static_cast<std::uint8_t>(std::clamp(v, 0.0, 255.0))); }
+
+std::uint16_t sum(std::string_view bytes) {
+  std::uint32_t a = 1, b = 0;
+  for (unsigned char c : bytes) a = (a + c) % 251, b = (b + a) % 251;
+  return static_cast<std::uint16_t>(b << 8 | a);
+}
+
+void put_id(std::string& m, std::uint32_t id) {
+  for (int shift : {0, 8, 16}) m.push_back(static_cast<char>(id >> shift));
+}
+
+}  // namespace
+
+// Head: version, how many words, a sum over the rest (two bytes), how many keys.
+std::string write_memo(const Told& told) {
+  auto words = std::min(told.words.size(), memo_words), keys = std::min(told.keys.size(), memo_keys);
+  std::string m{version, static_cast<char>(words), 0, 0, static_cast<char>(keys)};
+  for (std::size_t i = 0; i < words; ++i) {
+    const auto& w = told.words[i];
+    put_id(m, w.id);
+    m.push_back(w.wait > 0 ? byte(1 + std::log(std::max(1.0, w.wait / wait_base)) / wait_step) : '\0');
+    m.push_back(byte(w.sick * 255));
+    m.push_back(byte(w.age / age_unit));
+  }
+  for (std::size_t i = 0; i < keys; ++i) {
+    put_id(m, told.keys[i].key);
+    m.push_back(byte(std::sqrt(std::max(0.0, told.keys[i].share)) * 255));
+  }
+  auto check = sum(std::string_view(m).substr(head));
+  m[2] = static_cast<char>(check), m[3] = static_cast<char>(check >> 8);
+  return m;
+}
+
+std::optional<Told> read_memo(std::string_view m) {
+  auto at = [&](std::size_t i) { return static_cast<unsigned char>(m[i]); };
+  if (m.size() < head || m[0] != version || at(1) > memo_words || at(4) > memo_keys) return {};
+  const std::size_t end = head + at(1) * word_size;
+  if (m.size() != end + at(4) * key_size || sum(m.substr(head)) != (at(2) | at(3) << 8)) return {};
+  auto id = [&](std::size_t k) -> std::uint32_t { return at(k) | at(k + 1) << 8 | at(k + 2) << 16; };
+  Told told;
+  for (std::size_t k = head; k < end; k += word_size)
+    told.words.push_back({.id = id(k),
+                          .wait = at(k + 3) > 0 ? wait_base * std::exp((at(k + 3) - 1) * wait_step) : 0,
+                          .sick = at(k + 4) / 255.0,
+                          .age = (at(k + 5) + 1) * age_unit});
+  for (std::size_t k = end; k < m.size(); k += key_size)
+    told.keys.push_back({.key = id(k), .share = at(k + 3) / 255.0 * at(k + 3) / 255.0});
+  return told;
+}
+
+}  // namespace meadow
