The new shape's settings in both files, hints and keys of requests, and a test of both shapes

report.how on_probe, report.columns, limits.peer_messages, my_number, specifics.warm_keys and fees.cross_zone are read from the operator's file too (number, warm_keys, crossing_price, peer_messages) and checked in the platform's: a value that can't be meant is one line with file, key and what is allowed, status 1. X-Call-Info's work_ms and entity reach the module; servers are told apart by a number of their name.

Found by the new tests: a probe that failed counted as a server with endless load and turned the visit away where all five failed; at a tick of 5 ms looks were stale before the visit was asked about again (one tick of slack for two).

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -431,7 +431,7 @@
   }
 
   [[nodiscard]] bool fresh_look(const Be& be, double now) const {
-    return look_column >= 0 && now - be.looked_at <= wire_tick + look_fresh * probe_took;
+    return look_column >= 0 && now - be.looked_at <= 2 * wire_tick + look_fresh * probe_took;
   }
 
   // The same where a fresh look says that no balancer has anything there.
@@ -517,8 +517,9 @@
         candidates.push_back(i);
     }
     bool asks_room = stage == 0 && v.sent == 0;
-    bool measures = room_floor * ready * tiers >= replicas;
-    if (asks_room && look_column < 0 && measures && crowded_out(!room(v, ready))) return -1;
+    // A part of under a visit measures nothing: there looks and words of the server picked say.
+    bool measures = look_column < 0 && (!worded || room_floor * ready * tiers >= replicas);
+    if (asks_room && measures && crowded_out(!room(v, ready))) return -1;
     // Taking servers out must not empty the tier: where most look sick, the tier is, and all are used. What a
     // rule keeps from a visit is not sick: with most servers new and cold, the quick failers were used again.
     if (candidates.empty() || sick > (1 - panic_share) * (ready - v.sent)) {
@@ -586,7 +587,7 @@
     double cost = never;
     for (int i : candidates) {
       const auto& be = bes[i];
-      if (!fresh_look(be, now)) continue;
+      if (!fresh_look(be, now) || be.load == never) continue;
       double c = (be.load + 1) / grown(be, now) + (crossing_costs && be.zone != zone ? far_load : 0);
       if (c < cost) least = i, cost = c, equal = 0;
       if (c == cost && uniform() * ++equal < 1) least = i;
@@ -975,8 +976,9 @@
         be.waiting_since = now;
         be.tokens_at = now;
         // A whole token with each of hundreds pushed servers over at their start: the rest comes evenly.
-        double part = warm_rate * overload_factor * cold_share * cold_safety * overload_for;
-        if (uniform() >= std::max(part, cold_few / replicas)) be.tokens = uniform();
+        double part = std::max(warm_rate * overload_factor * cold_share * cold_safety * overload_for,
+                               cold_few / replicas);
+        if (part < 1 && uniform() >= part) be.tokens = uniform();
       }
       be.zone = e.zone;
       be.pod = e.pod;
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -118,7 +118,6 @@
 struct Chores {
   bool subscribe = false;
   bool lookup = false;
-  std::vector<int> probe;
   std::vector<Memo> memos;
   std::vector<std::string> lines;
 };
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -36,6 +36,41 @@
         std::string("limits.").append(name).append(" can't be read, used: ").append(std::to_string(into)));
 }
 
+// Those that say which way a balancer works: a slip there would have it work another way unseen.
+void check_shape(const Settings& settings) {
+  constexpr std::string_view truths[] = {"limits.peer_messages", "limits.probes", "specifics.warm_keys"};
+  struct Range {
+    std::string_view key;
+    double least, most;
+  };
+  constexpr Range numbers[] = {{"my_number", 0, 65535},
+                               {"replicas_of_me", 1, 65536},
+                               {"fees.cross_zone", 0, 1000},
+                               {"rules.overload_for_ms", 0, 3600000},
+                               {"tick_ms", 0.01, 1000}};
+  auto wrong = [](std::string_view key, const std::string& allowed) {
+    throw BadConfig(std::string("settings.").append(key).append(" is not ").append(allowed));
+  };
+  for (auto key : truths)
+    if (auto it = settings.find(key); it != settings.end() && it->second != "true" && it->second != "false")
+      wrong(key, "true or false");
+  for (const auto& [key, least, most] : numbers) {
+    auto it = settings.find(key);
+    if (it == settings.end()) continue;
+    double v = 0;
+    const auto& text = it->second;
+    auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), v);
+    if (bad != std::errc{} || end != text.data() + text.size() || !(v >= least && v <= most)) {
+      std::ostringstream allowed;
+      allowed << "between " << least << " and " << most;
+      wrong(key, allowed.str());
+    }
+  }
+  if (auto it = settings.find("report.how");
+      it != settings.end() && it->second != "off" && it->second != "inline" && it->second != "on_probe")
+    wrong("report.how", "off, inline or on_probe");
+}
+
 }  // namespace
 
 void read_config_text(std::string_view text, routing::Setup& into, const routing::Say& say) {
@@ -46,6 +81,7 @@
   const auto* settings = config->find("settings");
   if (!settings || !settings->object()) throw BadConfig("settings are missing");
   protocol::flatten(*settings, "", into.settings);
+  check_shape(into.settings);
   if (const auto* limits = config->find("limits")) {
     read_limit(*limits, "sockets", into.descriptors, say);
     read_limit(*limits, "memory_mb", into.memory_mb, say);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -78,7 +78,8 @@
     say(routing::Level::info, "operators are heard on " + door, {{"address", std::string_view(door)}});
   }
   auto at = serving.address().text();
-  say(routing::Level::info, (serving.ready() ? "serves on " : "is to serve on ") + at, {{"address", std::string_view(at)}});
+  say(routing::Level::info, (serving.ready() ? "serves on " : "is to serve on ") + at,
+      {{"address", std::string_view(at)}});
   serving.run();
   say(routing::Level::info, "ended");
   return 0;
--- a/src/program/operator_file.cpp
+++ b/src/program/operator_file.cpp
@@ -1,5 +1,6 @@
 // The operator's own file, turned into the same settings that the platform's file gives.
 #include <algorithm>
+#include <map>
 #include <set>
 #include <sstream>
 
@@ -36,6 +37,12 @@
     r.get("zone", zone_);
     r.get("zones", zones_);
     r.get("balancers_in_zone", balancers_, 1, 100000);
+    int number = 0;
+    r.get("number", number, 0, 65535);
+    if (number >= balancers_) r.wrong("number", "is not below balancers_in_zone");
+    set("my_number", number);
+    set("specifics.warm_keys", truth(r, "warm_keys", false));
+    set("fees.cross_zone", this->number(r, "crossing_price", 0, 0, 1));
     r.get("seed", setup_.seed);
     if (r.has("discovery")) setup_.discovery.emplace();
     if (setup_.discovery) address(r, "discovery", *setup_.discovery);
@@ -116,6 +123,7 @@
     set("limits.max_backend_fetches", fetches);
     set("limits.second_copies", truth(r, "second_copies", false));
     set("limits.probes", truth(r, "probes", false));
+    set("limits.peer_messages", truth(r, "peer_messages", false));
     set("limits.cancelling", truth(r, "cancelling", true));
     double advice = number(r, "retry_after_ms", 5000, 0, most_ms);
     set("limits.retry_after", advice > 0);
@@ -133,13 +141,17 @@
   void reports(Reader& r) {
     int at = 0;
     r.choose("how", at, {"off", "inline", "probe"});
-    constexpr std::string_view all[] = {"off", "inline", "probe"};
+    constexpr std::string_view all[] = {"off", "inline", "on_probe"};
+    // The module's words for what reports may call otherwise.
+    const std::map<std::string_view, std::string_view> words{
+        {"inflight", "concurrent"}, {"queue", "depth"}, {"util", "load_share"}, {"latency_ms", "mean_ms"}};
     std::vector<std::string> columns;
     r.get("columns", columns);
     std::string joined;
     for (const auto& c : columns) {
       if (c.empty() || c.find(',') != c.npos) r.wrong("columns", "holds what is no name of a figure");
-      joined.append(joined.empty() ? "" : ",").append(c);
+      auto word = words.find(c);
+      joined.append(joined.empty() ? "" : ",").append(word == words.end() ? c : word->second);
     }
     if (columns.size() > 4) r.wrong("columns", "holds more than four names");
     set("report.how", std::string(all[at]));
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -10,7 +10,7 @@
 
 namespace meadow::protocol {
 
-inline constexpr std::size_t most_body = 64 * 1024;           // of what is held at a time
+inline constexpr std::size_t most_body = 64 * 1024;            // of what is held at a time
 inline constexpr std::size_t largest_body = 33 * 1024 * 1024;  // of what flows
 inline constexpr std::size_t most_fields = 100;
 
@@ -34,8 +34,8 @@
 class Message {
  public:
   enum class Kind : std::uint8_t { request, answer };
-  // kept: held whole. streamed: without end, taken by take_body(). flowing: held up to `most_body` at a time; what
-  // is passed on makes room for more.
+  // kept: held whole. streamed: without end, taken by take_body(). flowing: held up to `most_body` at a time;
+  // what is passed on makes room for more.
   enum class Body : std::uint8_t { kept, streamed, flowing };
 
   Message(transport::Pool& pool, Kind kind, Body body = Body::kept)
@@ -85,7 +85,17 @@
   [[nodiscard]] bool passes_on(const Field& field) const;
 
  private:
-  enum class At : std::uint8_t { start, field, body, chunk_size, chunk, chunk_end, trailer, until_end, whole };
+  enum class At : std::uint8_t {
+    start,
+    field,
+    body,
+    chunk_size,
+    chunk,
+    chunk_end,
+    trailer,
+    until_end,
+    whole
+  };
 
   void line(std::string_view text);
   bool start_line(std::string_view text);
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "protocol/call_info.hpp"
 #include "protocol/load_report.hpp"
 #include "protocol/names.hpp"
 #include "protocol/target.hpp"
@@ -284,11 +285,14 @@
   double budget =
       std::clamp(figure(m.find(names::budget), timeouts_[static_cast<std::size_t>(prefix)]), 0.0, 1e7);
   bool coming = !m.whole();
+  auto info = protocol::read_call_info(m.find(names::figures));
   Visit v{.prefix = prefix,
           .tenant = place_in(tenants_, m.find(names::tenant)),
           .arrived = now_,
           .due = now_ + (coming ? most_coming_ms : budget - own_delay_ms),
           .repeat = m.find(names::again) == "1",
+          .work = info.work_ms,
+          .key = info.key,
           .large = coming,
           .coming = coming};
   auto job = next_job_++;
@@ -478,7 +482,8 @@
                         .standing = active ? Standing::ready : Standing::draining,
                         .weight = h.share,
                         .up_since = h.born_ms,
-                        .shut = out});
+                        .shut = out,
+                        .id = static_cast<std::uint32_t>(protocol::number_of_name(h.name))});
   }
   if (kind != ListKind::delta)
     for (std::size_t i = 0; i < there.size(); ++i)
@@ -494,7 +499,6 @@
   tick_at_ = std::max(tick_at_, now_ - brain_.tick_every()) + brain_.tick_every();
   auto c = brain_.tick(now_);
   // The watch on discovery is kept up all the time, so there is nothing to do when it is asked for.
-  for (int be : c.probe) commands_.push_back({.kind = Command::probe, .be = be});
   for (const auto& line : c.lines) say_(Level::info, line);
   upstreams_.close_idle();
   upstreams_.let_flow();
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -56,8 +56,8 @@
   std::vector<std::unique_ptr<transport::Stream>> buried_;
   bool up_ = false;
   bool missed_ = false;  // a line of this watch could not be read
-  bool whole_ = false;  // the whole list is wanted before the watch
-  std::string list_;    // as much of it as has come
+  bool whole_ = false;   // the whole list is wanted before the watch
+  std::string list_;     // as much of it as has come
   protocol::Message answer_;
   protocol::Lines lines_;
   int failures_ = 0;
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -78,6 +78,44 @@
             V{"f:1:1: listen is no address with a port: here"});
 }
 
+TEST(OperatorFile, TheShapeOfADeploymentIsChecked) {
+  std::vector<Problem> problems;
+  auto s = read_operator_file(
+      settings::read_text("balancers_in_zone = 400\nnumber = 7\nwarm_keys = true\ncrossing_price = 0.03\n" +
+                              least + "[reports]\nhow = \"probe\"\ncolumns = [\"inflight\", \"queue\"]\n",
+                          "f"),
+      7, problems);
+  EXPECT_TRUE(problems.empty());
+  EXPECT_EQ(s.settings.at("my_number"), "7");
+  EXPECT_EQ(s.settings.at("specifics.warm_keys"), "true");
+  EXPECT_EQ(s.settings.at("fees.cross_zone"), "0.03");
+  EXPECT_EQ(s.settings.at("report.how"), "on_probe");
+  EXPECT_EQ(s.settings.at("report.columns"), "concurrent,depth");
+  using V = std::vector<std::string>;
+  EXPECT_EQ(problems_of("number = 1\n" + least), V{"f:1:1: number is not below balancers_in_zone"});
+  EXPECT_EQ(problems_of("warm_keys = 1\n" + least), V{"f:1:1: warm_keys is neither true nor false"});
+  EXPECT_EQ(problems_of("crossing_price = 2\n" + least), V{"f:1:1: crossing_price is not between 0 and 1"});
+}
+
+TEST(PlatformFile, TheShapeOfADeploymentIsChecked) {
+  auto wrong = [](const std::string& settings) -> std::string {
+    routing::Setup s;
+    try {
+      read_config_text("{\"settings\":{" + settings + "}}", s, {});
+      return "";
+    } catch (const BadConfig& e) {
+      return e.what();
+    }
+  };
+  EXPECT_EQ(wrong(R"("my_number":3,"limits":{"peer_messages":true},"specifics":{"warm_keys":false})"), "");
+  EXPECT_EQ(wrong(R"("my_number":-1)"), "settings.my_number is not between 0 and 65535");
+  EXPECT_EQ(wrong(R"("limits":{"peer_messages":"yes"})"),
+            "settings.limits.peer_messages is not true or false");
+  EXPECT_EQ(wrong(R"("specifics":{"warm_keys":2})"), "settings.specifics.warm_keys is not true or false");
+  EXPECT_EQ(wrong(R"("report":{"how":"now"})"), "settings.report.how is not off, inline or on_probe");
+  EXPECT_EQ(wrong(R"("fees":{"cross_zone":"dear"})"), "settings.fees.cross_zone is not between 0 and 1000");
+}
+
 TEST(OperatorFile, WhatIsNoTomlIsOneLineWithItsPlace) {
   for (std::string bad : {"listen = ", "[a\n", "a = 1\na = 2\n", "\x01"}) try {
       settings::read_text(bad, "f");
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "program/config.hpp"
+#include "protocol/call_info.hpp"
 #include "protocol/discovery.hpp"
 #include "protocol/http.hpp"
 #include "protocol/json.hpp"
@@ -303,6 +304,22 @@
   EXPECT_EQ(all.size(), 2u);
 }
 
+TEST(CallInfo, IsReadAsFarAsItCanBeMeant) {
+  auto a = read_call_info("work_ms=12.5, entity=tool-7,tier=2");
+  EXPECT_EQ(a.work_ms, 12.5);
+  EXPECT_EQ(a.key, number_of_name("tool-7"));
+  EXPECT_EQ(read_call_info("hint=3,key=9").work_ms, 3);
+  EXPECT_EQ(read_call_info("entity=0").key, 0U);
+  for (std::string bad : {"", ",", "=", "work_ms", "work_ms=", "work_ms=x", "work_ms=-1", "work_ms=0",
+                          "work_ms=nan", "work_ms=inf", "work_ms=1e300", "work_ms=1 2", "entity="}) {
+    auto c = read_call_info(bad);
+    EXPECT_EQ(c.work_ms, 0) << bad;
+    EXPECT_EQ(c.key, 0U) << bad;
+  }
+  std::string whole = "work_ms=12.5,entity=tool-7";
+  for (std::size_t n = 0; n < whole.size(); ++n) read_call_info(whole.substr(0, n));
+}
+
 }  // namespace
 TEST(Target, APathThatSomeReaderResolvesToAnotherPrefixIsSeen) {
   for (std::string good :
