--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -623,8 +623,9 @@
       double u = (static_cast<double>(h >> 12) + 0.5) / 4503599627370496.0;
       ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_time[bes[i].sku].value, i});
     }
-    double share = keys.came(v.key) + key_first * keys.doubt() * keys.doubt();
-    int pick = -1;
+    // A visit that goes on from one server has come once.
+    double share = (v.sent == 0 ? keys.came(v.key) : 0) + key_first * keys.doubt() * keys.doubt();
+    int pick = candidates.front();
     double least = never;
     for (std::size_t far : {0, 1}) {
       auto& all = ranks[far];
