The test of both shapes covers drains and a server that starts, by the sum of both

Both read that the second upstream leaves: nothing more reaches it. It starts anew at a fifth of its work: what both send stays under twice that within 1.5 s.

--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -585,7 +585,14 @@
 struct Mixed {
   explicit Mixed(const std::string& settings)
       : fresh({.upstreams = 0, .settings = settings},
-              listing(1, true, {host(0, old.upstreams[0].address()), host(1, old.upstreams[1].address())})) {}
+              listing(1, true, {host(0, old.upstreams[0].address()), host(1, old.upstreams[1].address())})) {
+    for (auto* s : {&old, &fresh}) lists.push_back(watch(*s));
+  }
+
+  // Discovery tells both of the second upstream.
+  void second(int seq, const std::string& health, double born = 0) {
+    for (auto& d : lists) tell(d, listing(seq, false, {host(1, old.upstreams[1].address(), health, born)}));
+  }
 
   // How many of `most` visits each delivered, asked for by as many clients at each, one after another.
   std::pair<int, int> play(int most) {
@@ -607,7 +614,8 @@
     EXPECT_GE(got[0] + got[1], most);
     return {got[0], got[1]};
   }
-  int ran_twice = 0, at_once_most = 0;
+  int ran_twice = 0, at_once_most = 0, to_second = 0;
+  std::chrono::milliseconds work[2] = {std::chrono::milliseconds(12), std::chrono::milliseconds(12)};
 
  private:
   struct Line {
@@ -628,6 +636,7 @@
         } else {
           line.waits = true;
           queue[n].push_back(i);
+          to_second += n == 1;
           auto at = m.find("X-Call-Id: ");
           ran_twice += !ids.insert(m.substr(at, m.find('\r', at) - at)).second;
           at_once_most = std::max(at_once_most, static_cast<int>(queue[n].size()));
@@ -636,10 +645,10 @@
       if (queue[n].empty()) done_at[n] = {};
       if (queue[n].empty() || Clock::now() < done_at[n]) continue;
       if (done_at[n] == Clock::time_point{}) {  // its head is begun now
-        done_at[n] = Clock::now() + work;
+        done_at[n] = Clock::now() + work[n];
         continue;
       }
-      done_at[n] = queue[n].size() > 1 ? Clock::now() + work : Clock::time_point{};
+      done_at[n] = queue[n].size() > 1 ? Clock::now() + work[n] : Clock::time_point{};
       auto& line = lines[n][queue[n].front()];
       queue[n].erase(queue[n].begin());
       line.waits = false;
@@ -648,15 +657,16 @@
   }
   Service old;
   Service fresh;
+  std::vector<Peer> lists;
   std::vector<Line> lines[2];
   std::vector<std::size_t> queue[2];
-  static constexpr std::chrono::milliseconds work{12};
   Clock::time_point done_at[2];
   std::set<std::string> ids;
 };
 
-// Neither kind gets less than a quarter of what both deliver, nothing mutating runs twice, and no queue grows
-// beyond what all clients ask for. Without its looks the new kind is held to a four-hundredth of the room.
+// Neither kind gets less than a quarter of what both deliver, nothing mutating runs twice, no queue grows
+// beyond what all clients ask for, a drain is kept and one that starts is spared, by the sum of both. Without
+// its looks the new kind is held to a four-hundredth of the room.
 TEST(Move, InstancesOfBothShapesShareTheUpstreams) {
   const std::string many = R"(,"replicas_of_me":400,"my_number":7,"limits":{"probes":true})";
   Mixed both(many + R"(,"report":{"columns":["concurrent","depth"],"how":"on_probe"})");
@@ -665,6 +675,21 @@
   EXPECT_GE(4 * fresh, old + fresh) << old;
   EXPECT_EQ(both.ran_twice, 0);
   EXPECT_LE(both.at_once_most, 8);
+  // Once both have read that one leaves, neither sends it anything.
+  both.second(2, "leaving");
+  both.play(30);
+  int before = both.to_second;
+  both.play(60);
+  EXPECT_EQ(both.to_second, before);
+  // It starts anew, a fifth as able as it will be: within any 1.5 s it may be sent twice that.
+  both.work[1] *= 5;
+  auto began = Clock::now();
+  both.second(3, "active", static_cast<double>(time(nullptr)) * 1000);
+  before = both.to_second;
+  both.play(100);
+  auto ms = std::chrono::duration<double, std::milli>(Clock::now() - began).count();
+  EXPECT_LE(both.to_second - before, 2 * std::max(ms, 1500.0) / 60);
+  EXPECT_GT(both.to_second, before);
   Mixed blind(many + R"(,"report":{"columns":[],"how":"off"})");
   auto [beside, starved] = blind.play(200);
   EXPECT_LT(4 * starved, beside + starved);
