--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -739,15 +739,14 @@
       told.words.push_back({.id = be.id, .wait = be.wait, .sick = be.sick, .age = now - be.word_at});
     }
     int to = static_cast<int>(uniform() * (replicas - 1));
-    memos.push_back({.to = to + (to >= me), .bytes = write_memo(told)});
+    memos.push_back({.to = to + (to >= me), .told = std::move(told)});
   }
 
   // Of a server that is not in the own list nothing is kept: hearsay lets nobody send.
-  void heard_memo(std::string_view bytes, double now) {
-    auto told = tells ? read_memo(bytes) : std::nullopt;
-    if (!told) return;
-    keys.even_out(told->keys);
-    for (const auto& w : told->words) {
+  void heard(const Told& told, double now) {
+    if (!tells) return;
+    keys.even_out(told.keys);
+    for (const auto& w : told.words) {
       auto it = std::find_if(listed.begin(), listed.end(), [&](int i) { return bes[i].id == w.id; });
       if (it == listed.end()) continue;
       auto& be = bes[*it];
@@ -1186,7 +1185,7 @@
 void Brain::probed(int be, Status status, double took, const Gauge& gauge, double now) {
   core_->probed(be, status, took, gauge, now);
 }
-void Brain::heard(std::string_view memo, double now) { core_->heard_memo(memo, now); }
+void Brain::heard(const Told& told, double now) { core_->heard(told, now); }
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
 void Brain::shut(int be, bool out, double now) { core_->shut(be, out, now); }
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -8,7 +8,6 @@
 #include <memory>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace meadow {
@@ -41,10 +40,31 @@
   std::uint32_t id = 0;  // the same at every balancer
 };
 
-// A short message to another balancer of the tier, by its number.
+// The latest word on a server: how long a visit takes there, whether it fails (0 to 1), how old that is.
+struct Word {
+  std::uint32_t id = 0;  // 24 bits
+  double wait = 0;       // 0: not known
+  double sick = 0;
+  double age = 0;
+};
+
+// A key's share of the tier's visits, as far as known.
+struct Heard {
+  std::uint32_t key = 0;  // 24 bits
+  double share = 0;
+};
+
+struct Told {
+  std::vector<Word> words;
+  std::vector<Heard> keys;
+};
+
+inline constexpr std::size_t memo_words = 36, memo_keys = 8;  // at most, which fills a short message
+
+// A message to another balancer of the tier, by its number.
 struct Memo {
   int to = 0;
-  std::string bytes;
+  Told told;
 };
 
 enum class ListKind : std::uint8_t { delta, full, cached, failed };
@@ -140,8 +160,8 @@
   void whole(Visit& v, double due, double now);    // the body of one that was coming has come
   void list(ListKind kind, std::span<const Entry> entries, double now);
   void probed(int be, Status status, double took, const Gauge& gauge, double now);
-  void heard(std::string_view memo, double now);  // from another balancer, if it is one
-  Chores tick(double now);                        // every tick_every() ms
+  void heard(const Told& told, double now);  // from another balancer
+  Chores tick(double now);                   // every tick_every() ms
   [[nodiscard]] double tick_every() const;
   // An operator takes a server out, or puts it back.
   void shut(int be, bool out, double now);
--- a/src/brain/key_shares.hpp
+++ b/src/brain/key_shares.hpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "brain/memo.hpp"
+#include "brain/brain.hpp"
 
 namespace meadow {
 
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "membership/memo.hpp"
+
 namespace meadow::drill {
 namespace {
 
@@ -111,6 +113,10 @@
     brain_.probed(it->second, status_of(r.get<std::uint16_t>(5)), r.get<double>(7), gauge_at(r, 15), now);
 }
 
+void Instance::from_peer(std::string_view memo, double now) {
+  if (auto told = read_memo(memo)) brain_.heard(*told, now);
+}
+
 void Instance::registry(Record r, std::string_view entries, double now) {
   entries_.clear();
   for (std::size_t at = 0; at + entry_size <= entries.size(); at += entry_size) {
@@ -134,7 +140,7 @@
     auto c = brain_.tick(now);
     if (c.subscribe) out.keep_informed(true);
     if (c.lookup) out.lookup();
-    for (const auto& m : c.memos) out.memo_to(static_cast<std::uint16_t>(m.to), m.bytes);
+    for (const auto& m : c.memos) out.memo_to(static_cast<std::uint16_t>(m.to), write_memo(m.told));
     for (const auto& line : c.lines) out.journal_line(line);
     out.set_alarm(brain_.tick_every(), periodic);
     return;
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -20,7 +20,7 @@
   void begun(Record r, double now, Reply& out);
   void client_gone(Record r, double now, Reply& out);
   void probe_done(Record r, double now);
-  void from_peer(std::string_view memo, double now) { brain_.heard(memo, now); }
+  void from_peer(std::string_view memo, double now);
   void registry(Record r, std::string_view entries, double now);
   void alarm(Record r, double now, Reply& out);
   // Before the reply closes: asks for the alarm of the next due time.
--- a/src/brain/memo.cpp
+++ b/src/membership/memo.cpp
@@ -1,4 +1,4 @@
-#include "brain/memo.hpp"
+#include "membership/memo.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -380,7 +380,8 @@
     }
     a.memos.clear();
     a.pass(600);
-    for (auto& m : a.memos) b.brain.heard(spoil(m.bytes), b.now);
+    for (auto& m : a.memos)
+      if (auto told = read_memo(spoil(write_memo(m.told)))) b.brain.heard(*told, b.now);
     for (int i = 0; i < 300; ++i) {
       int id = b.knock(0, 5000, 0, 9000 + i);
       b.end(id, 0, Status::delivered);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "brain/brain.hpp"
-#include "brain/memo.hpp"
+#include "membership/memo.hpp"
 
 namespace meadow::test {
 
