--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -481,13 +481,11 @@
     }
     v.answered = true;
     a.kind = harmless ? Answer::bounce : Answer::error;
-    if (harmless) a.retry_after = advice(now);
+    if (harmless) a.retry_after = most_advice * std::clamp(std::max(drop(now), turned_away), 0.0, 1.0);
     a.cancel = rest(v);
     return a;
   }
 
-  [[nodiscard]] double advice(double now) const { return most_advice * std::clamp(drop(now), 0.0, 1.0); }
-
   [[nodiscard]] std::uint32_t rest(const Visit& v) const {
     std::uint32_t bits = 0;
     for (int n = 0; cancelling && n < v.sent; ++n)
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -333,6 +333,17 @@
   EXPECT_EQ(w.finals.at(late), Answer::bounce);
 }
 
+// The throttle had nothing to say while looks turned visits away, and clients were told to come back at once.
+TEST(Looks, ABounceSaysWhenToComeBack) {
+  World w({}, 20, 5,
+          World::with(looks_only, {{"limits.retry_after", "true"}, {"limits.max_retry_after_ms", "2000"}}));
+  w.look_of = [](int) { return Gauge{2, {400, 0}}; };
+  for (int i = 0; i < 40; ++i) w.knock(0, 5000, 0, 0, 100), w.pass(30);
+  EXPECT_EQ(w.finals.size(), 40U);
+  EXPECT_GT(w.advised, 100);
+  EXPECT_LE(w.advised, 2000);
+}
+
 const Settings worded{{"replicas_of_me", "1000"},       {"my_number", "3"},
                       {"limits.peer_messages", "true"}, {"specifics.warm_keys", "true"},
                       {"report.how", "inline"},         {"report.columns", "mean_ms,depth"},
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -260,6 +260,7 @@
   std::function<Gauge(int)> gauge_of;  // the load that answers carry
   std::function<Gauge(int)> look_of;   // that probes carry; nothing: the probe fails
   std::map<int, Answer::Kind> finals;
+  double advised = 0;  // by the last bounce
 
  private:
   void carry_out(int id, const Answer& a) {
@@ -280,6 +281,7 @@
     } else if (a.kind == Answer::bounce || a.kind == Answer::error) {
       check.answered(id, a.kind, now);
       finals[id] = a.kind;
+      advised = a.retry_after;
     }
     for (int n = 0; n < most_fetches; ++n)
       if (a.cancel >> n & 1) end(id, n, Status::cancelled);
