--- a/src/fleet/file.hpp
+++ b/src/fleet/file.hpp
@@ -25,6 +25,7 @@
   std::string name;
   transport::Address listen;
   membership::Timing timing;
+  double letters_per_s = 200;  // asks and answers, beside the rounds of news
   std::vector<Member> members;  // this one among them
   Terms terms;
   int tenants = 0, prefixes = 0;
--- a/src/program/fleet_desk.cpp
+++ b/src/program/fleet_desk.cpp
@@ -126,6 +126,16 @@
           .rights = {}};
 }
 
+// Asks and answers together: however many ask at once, an instance does not drown.
+bool FleetDesk::may_send(double now) {
+  double most = charter_.letters_per_s;
+  letters_left_ = std::min(most, letters_left_ + (now - letters_at_) * most / 1000);
+  letters_at_ = now;
+  if (letters_left_ < 1) return static_cast<void>(++held_back_), false;
+  letters_left_ -= 1;
+  return true;
+}
+
 void FleetDesk::send(int peer, const Letter& l) {
   std::size_t looks = 0;
   post_.send(peer, membership::write_letter(l, looks));
@@ -145,6 +155,7 @@
   for (const auto& look : l.looks) roll_.heard(look, now);
   if (l.kind == Letter::news || l.pact != pact_) return;
   if (l.kind == Letter::ask) {
+    if (!may_send(now)) return;  // before anything is lent for it
     auto answer = letter(Letter::grant);
     answer.stamp = l.stamp;
     answer.to_boot = l.boot;
@@ -184,7 +195,7 @@
   if (post_.is_open()) {
     if (now >= tell_at_) tell(now);
     compare(now);
-    if (now >= ask_at_ || limits_.urgent()) ask(now);
+    if (now >= ask_at_ || (limits_.urgent() && now >= urgent_at_)) ask(now);
   }
   if (now >= log_at_) log(now);
 }
@@ -203,10 +214,12 @@
 
 void FleetDesk::ask(double now) {
   ask_at_ = now + limits_.lease_ms() / 4;
+  urgent_at_ = now + limits_.lease_ms() / 10;
   for (auto& a : limits_.asks(now)) {
     auto l = letter(Letter::ask);
     l.stamp = now - start_;
     l.rights = std::move(a.rights);
+    if (!may_send(now)) return;
     send(a.peer, l);
     ++asks_;
   }
@@ -266,6 +279,7 @@
                                                   {"fleet.asks", static_cast<double>(asks_)},
                                                   {"fleet.grants", static_cast<double>(grants_)},
                                                   {"fleet.answers", static_cast<double>(lent_)},
+                                                  {"fleet.held_back", static_cast<double>(held_back_)},
                                                   {"fleet.turned_away", static_cast<double>(refused_)}};
   for (std::size_t k = 0; k < p.dropped.size(); ++k) {
     std::string name("fleet.dropped.");
--- a/src/program/fleet_desk.hpp
+++ b/src/program/fleet_desk.hpp
@@ -43,6 +43,7 @@
   void log(double now);
   [[nodiscard]] membership::Letter letter(membership::Letter::Kind kind);
   void send(int peer, const membership::Letter& letter);
+  bool may_send(double now);
 
   transport::Loop& loop_;
   transport::Clock clock_;
@@ -56,7 +57,9 @@
   transport::Fd timer_;
   std::uint64_t token_ = 0;
   bool off_ = false, left_ = false, whole_ = true;
-  double open_at_ = 0, tell_at_ = 0, ask_at_ = 0, log_at_ = 0;
+  double open_at_ = 0, tell_at_ = 0, ask_at_ = 0, urgent_at_ = 0, log_at_ = 0;
+  double letters_left_ = 0, letters_at_ = 0;  // asks and answers
+  std::uint64_t held_back_ = 0;
   std::string no_address_;  // why it can't be had
   std::uint64_t asks_ = 0, grants_ = 0, lent_ = 0, refused_ = 0;
   std::vector<membership::Standing> shown_;
--- a/src/rehearsal/figures.cpp
+++ b/src/rehearsal/figures.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr double settle_ms = 1000;  // share and tail are judged over so much
-constexpr double before_ms = 4000;  // and compared with so much before the fault
+constexpr double settle_ms = 1000;   // share and tail are judged over so much
+constexpr double settled_ms = 2000;  // from the begin, until rights have followed traffic
+constexpr double before_ms = 4000;   // and compared with so much before the fault
 
 struct Visit {
   const Try* first = nullptr;
@@ -33,6 +34,7 @@
     worst();
     for (std::size_t i = 0; i < e_.faults.size(); ++i) recovery(i);
     costs();
+    limits();
     return std::move(f_);
   }
 
@@ -204,6 +206,33 @@
     f_.lag_most = p_.lag.most();
   }
 
+  void limits() {
+    if (!e_.fleet) return;
+    auto terms = e_.terms();
+    for (const auto& l : e_.fleet->limits) {
+      auto a = admitted(p_.ledger, terms, l);
+      LimitRow row{
+          .name = (l.tenant.empty() ? "*" : l.tenant) + "/" + (l.prefix.empty() ? "*" : l.prefix),
+          .rate = l.rate,
+          .burst = l.burst,
+          .most_over = a.most_over,
+          .slices = std::vector<double>(f_.slices.size()),
+          .by = std::vector<std::vector<double>>(static_cast<std::size_t>(e_.tiers.front().balancers),
+                                                 std::vector<double>(f_.slices.size()))};
+      for (const auto& [at, balancer] : a.at) {
+        double since = at - p_.begin;
+        auto i = std::min(f_.slices.size() - 1, static_cast<std::size_t>(std::max(0.0, since / f_.slice_ms)));
+        row.slices[i] += 1000 / f_.slice_ms;
+        row.by[static_cast<std::size_t>(balancer)][i] += 1000 / f_.slice_ms;
+        row.mean += since >= settled_ms && since < p_.ms ? 1000 / (p_.ms - settled_ms) : 0;
+      }
+      f_.limits.push_back(std::move(row));
+    }
+    double seconds = e_.tiers.front().balancers * p_.ms / 1000;
+    f_.letters_per_s = static_cast<double>(p_.letters) / seconds;
+    f_.letter_bytes_per_s = static_cast<double>(p_.letter_bytes) / seconds;
+  }
+
   const Experiment& e_;
   const Played& p_;
   Figures f_;
--- a/src/rehearsal/figures.hpp
+++ b/src/rehearsal/figures.hpp
@@ -34,6 +34,16 @@
   std::optional<double> after_ms{};          // from its end until share and tail are back; none: not that day
 };
 
+// What came of a limit of the whole fleet, by the servers' records.
+struct LimitRow {
+  std::string name;
+  double rate = 0, burst = 0;
+  double mean = 0;                      // admitted a second, over the day from its second second on
+  double most_over = 0;                 // of the bound, over some window; not above 0: kept
+  std::vector<double> slices;           // admitted a second
+  std::vector<std::vector<double>> by;  // by balancer
+};
+
 struct Figures {
   std::uint64_t visits = 0, in_target = 0, late = 0, bounced = 0, errored = 0, lost = 0;
   double earnings = 0;          // delivered within target, as a share of what was asked for
@@ -49,6 +59,8 @@
   double load_us = 0;      // processor time of the load tool per try
   double balancer_us = 0;  // processor time of all balancers per visit
   double lag_p50 = 0, lag_p99 = 0, lag_most = 0;
+  std::vector<LimitRow> limits;                      // of the experiment's fleet, told or not
+  double letters_per_s = 0, letter_bytes_per_s = 0;  // that one balancer sent others
   Verdict verdict;
   bool stopped = false;
 };
--- a/src/rehearsal/fleet.cpp
+++ b/src/rehearsal/fleet.cpp
@@ -16,7 +16,7 @@
 }  // namespace
 
 // 127.16 to 127.47: servers, a net for each balancer; 127.64 to 127.95: relays; 127.112: balancers; 127.113:
-// agents.
+// agents; 127.114 and 127.120: letters between balancers.
 transport::Address Places::server(int tier, int server, int balancer) const {
   return made(16 + balancer, tier * 20 + server / 250, 1 + server % 250, port);
 }
@@ -28,8 +28,17 @@
 }
 transport::Address Places::agent(int tier, int balancer) const { return made(113, tier, 1 + balancer, port); }
 
+transport::Address Places::letters(int balancer) const { return made(114, 0, 1 + balancer, port); }
+transport::Address Places::known(int balancer, int peer) const {
+  return made(120, 1 + balancer, 1 + peer, port);
+}
+
 Fleet::Fleet(Scene& scene, const Experiment& e, std::uint64_t seed, const Places& places)
     : Part(scene), e_(e), seed_(seed), places_(places), rng_(mixed(seed, "fleet")) {
+  if (e.fleet)
+    exchange_ = std::make_unique<Exchange>(
+        scene, e.tiers.front().balancers, [&](int b) { return places.letters(b); },
+        [&](int b, int p) { return places.known(b, p); }, e.letters, seed);
   for (std::size_t i = 0; i < e.tiers.size(); ++i) {
     const auto& spec = e.tiers[i];
     int t = static_cast<int>(i);
@@ -79,6 +88,11 @@
 
 Fleet::~Fleet() = default;
 
+std::pair<std::uint64_t, std::uint64_t> Fleet::letters() const {
+  return exchange_ ? std::pair(exchange_->came(), exchange_->bytes())
+                   : std::pair<std::uint64_t, std::uint64_t>();
+}
+
 void Fleet::start(int t, int s, bool cold) {
   std::vector<transport::Address> at;
   for (int b = 0; b < e_.tiers[static_cast<std::size_t>(t)].balancers; ++b)
@@ -92,6 +106,7 @@
 
 void Fleet::begin(double at) {
   begin_ = at;
+  if (exchange_) exchange_->begin(at);
   for (std::size_t i = 0; i < e_.tiers.size(); ++i) {
     const auto& spec = e_.tiers[i];
     if (!spec.relays) continue;
--- a/src/rehearsal/fleet.hpp
+++ b/src/rehearsal/fleet.hpp
@@ -12,6 +12,7 @@
 #include "rehearsal/news.hpp"
 #include "rehearsal/stand/agent.hpp"
 #include "rehearsal/stand/backend.hpp"
+#include "rehearsal/stand/exchange.hpp"
 #include "rehearsal/stand/relay.hpp"
 
 namespace meadow::rehearsal {
@@ -23,6 +24,9 @@
   [[nodiscard]] transport::Address relay(int tier, int server, int balancer) const;
   [[nodiscard]] transport::Address balancer(int tier, int balancer) const;
   [[nodiscard]] transport::Address agent(int tier, int balancer) const;
+  // Where a balancer of the first tier takes letters, and where another knows it to.
+  [[nodiscard]] transport::Address letters(int balancer) const;
+  [[nodiscard]] transport::Address known(int balancer, int peer) const;
 };
 
 class Fleet final : public Backend::Around, public Caller::Sink, Scene::Part {
@@ -41,6 +45,8 @@
   [[nodiscard]] std::string list(int tier, int balancer) const;
   [[nodiscard]] Ledger& ledger() { return ledger_; }
   [[nodiscard]] std::vector<Struck> struck() const;
+  // Datagrams that balancers sent each other, and their bytes.
+  [[nodiscard]] std::pair<std::uint64_t, std::uint64_t> letters() const;
 
  private:
   struct Tier {
@@ -81,7 +87,8 @@
   double begin_ = 0, due_ = transport::DueTimes::none;
   Rng rng_;
   std::unordered_map<std::uint64_t, Call> calls_;  // under way, by the try's place in the ledger
-  std::vector<Front> fronts_;                      // before each tier
+  std::unique_ptr<Exchange> exchange_;
+  std::vector<Front> fronts_;  // before each tier
   BalancerNews news_;
 };
 
--- a/src/rehearsal/model/schedule.cpp
+++ b/src/rehearsal/model/schedule.cpp
@@ -75,6 +75,9 @@
       case Fault::freeze_balancer:
         for (int b : which) add(f.at_ms, What::freeze, b), add(end, What::thaw, b);
         break;
+      case Fault::reload_balancer:
+        for (int b : which) add(f.at_ms, What::reload, b, static_cast<double>(i));
+        break;
     }
   }
   std::stable_sort(all.begin(), all.end(), [](const Deed& a, const Deed& b) { return a.at_ms < b.at_ms; });
@@ -85,6 +88,7 @@
   if (!running_) return Signal::none;
   if (d.what == Deed::What::freeze) return Signal::freeze;
   if (d.what == Deed::What::thaw) return Signal::thaw;
+  if (d.what == Deed::What::reload) return Signal::reload;
   // One that is ending already is only killed on top of it.
   if (told_ && d.what == Deed::What::end) return Signal::none;
   told_ = true;
--- a/src/rehearsal/model/schedule.hpp
+++ b/src/rehearsal/model/schedule.hpp
@@ -28,7 +28,8 @@
     kill,
     end,
     freeze,
-    thaw
+    thaw,
+    reload  // `value`: the number of the fault that says how
   } what = What::stop;
   double at_ms = 0;  // from the day's begin
   int tier = 0, whom = 0;
@@ -42,7 +43,7 @@
 // One balancer process.
 class BalancerLife {
  public:
-  enum class Signal : std::uint8_t { none, kill, end, freeze, thaw };
+  enum class Signal : std::uint8_t { none, kill, end, freeze, thaw, reload };
   // A deed's time has come.
   Signal deed(const Deed& d, double begin, double now);
   // What is to be done by now, of what nobody else tells: a planned end that takes too long is made an end
--- a/src/rehearsal/play.cpp
+++ b/src/rehearsal/play.cpp
@@ -9,10 +9,12 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <tuple>
 
 #include "rehearsal/fleet.hpp"
 #include "rehearsal/load.hpp"
 #include "rehearsal/model/schedule.hpp"
+#include "rehearsal/own_file.hpp"
 #include "rehearsal/process.hpp"
 #include "transport/clock.hpp"
 #include "transport/listener.hpp"
@@ -63,7 +65,7 @@
 };
 
 void send(const Process& p, BalancerLife::Signal s) {
-  constexpr int numbers[] = {0, SIGKILL, SIGTERM, SIGSTOP, SIGCONT};
+  constexpr int numbers[] = {0, SIGKILL, SIGTERM, SIGSTOP, SIGCONT, SIGHUP};
   if (s != BalancerLife::Signal::none) p.signal(numbers[static_cast<int>(s)]);
 }
 
@@ -149,6 +151,18 @@
   Scene far(clock);
   Fleet fleet(far, e, seed, places);
 
+  auto own_file = [&](int b, const std::vector<int>& members) {
+    OwnPlace at{.listen = places.balancer(0, b).text(),
+                .discovery = places.agent(0, b).text(),
+                .letters = places.letters(b).text(),
+                .peers = {}};
+    for (int p = 0; p < e.tiers.front().balancers; ++p)
+      at.peers.push_back(p == b ? at.letters : places.known(b, p).text());
+    auto name = options.folder + "/b" + std::to_string(b) + ".toml";
+    std::ofstream(name) << balancer_file(e, build, b, seed, at, members);
+    return name;
+  };
+
   // Balancers are started while this process has one thread.
   std::vector<Running> all;
   if (!direct)
@@ -156,11 +170,13 @@
       for (int b = 0; b < e.tiers[t].balancers; ++b) {
         int tier = static_cast<int>(t);
         auto name = options.folder + "/t" + std::to_string(t) + "-b" + std::to_string(b);
+        auto args = build.args.empty() ? std::vector<std::string>{"serve"} : build.args;
+        if (e.fleet && t == 0) args.insert(args.end(), {"--config", own_file(b, e.fleet->members)});
         std::ofstream(name + ".json") << balancer_config(e, build, tier, b, seed, fleet.list(tier, b));
         std::filesystem::remove(name + ".log");
         all.push_back({tier, b,
                        Process({.program = build.program,
-                                .args = build.args.empty() ? std::vector<std::string>{"serve"} : build.args,
+                                .args = args,
                                 .variables = {{"GW_NAME", std::string("b").append(std::to_string(b))},
                                               {"GW_LISTEN", places.balancer(tier, b).text()},
                                               {"GW_DISCOVERY", places.agent(tier, b).text()},
@@ -178,7 +194,7 @@
   played.build = build.name;
   played.seed = seed;
   played.ms = e.ms();
-  played.terms = e.terms();
+  played.terms = e.terms(build.fleet);
   played.begin = clock.now() + lead_ms;
 
   std::vector<Caller::Target> targets;
@@ -227,6 +243,7 @@
   std::erase_if(deeds, [&](const Deed& d) { return !d.of_balancer() || direct; });
   std::size_t next = 0;
   std::vector<BalancerEnd> ends;
+  std::vector<Frozen> frozen;
   auto front = [&](const Running& r, bool up) {
     if (r.tier > 0) return fleet.balancer_news().tell({r.tier, r.balancer, up});
     for (auto& w : workers) w->load->news().tell({0, r.balancer, up});
@@ -238,7 +255,14 @@
     for (; next < deeds.size() && played.begin + deeds[next].at_ms <= now; ++next)
       for (auto& r : all) {
         if (r.tier != deeds[next].tier || r.balancer != deeds[next].whom) continue;
-        auto s = r.life.deed(deeds[next], played.begin, now);
+        const auto& d = deeds[next];
+        auto s = r.life.deed(d, played.begin, now);
+        if (s == BalancerLife::Signal::reload && e.fleet && r.tier == 0)
+          own_file(r.balancer, e.faults[static_cast<std::size_t>(d.value)].members);
+        if (s == BalancerLife::Signal::freeze) frozen.push_back({r.tier, r.balancer, now});
+        if (s == BalancerLife::Signal::thaw)
+          for (auto& f : frozen)
+            if (f.tier == r.tier && f.balancer == r.balancer && f.until == not_yet) f.until = now;
         send(r.process, s);
         if (s == BalancerLife::Signal::kill || s == BalancerLife::Signal::end) front(r, false);
       }
@@ -274,6 +298,8 @@
   threads.clear();
   played.ledger = std::move(fleet.ledger());
   played.ledger.ends = std::move(ends);
+  played.ledger.frozen = std::move(frozen);
+  std::tie(played.letters, played.letter_bytes) = fleet.letters();
   played.struck = fleet.struck();
   for (auto& w : workers) {
     auto& tries = w->load->tries();
--- a/src/rehearsal/play.hpp
+++ b/src/rehearsal/play.hpp
@@ -32,6 +32,7 @@
   std::uint64_t connections = 0;
   std::vector<BalancerUse> balancers;
   std::vector<Struck> struck;
+  std::uint64_t letters = 0, letter_bytes = 0;  // between balancers
 };
 
 struct PlayOptions {
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -44,6 +44,19 @@
   return all;
 }
 
+json of(const std::vector<LimitRow>& rows) {
+  json all = json::array();
+  for (const auto& r : rows)
+    all.push_back({{"name", r.name},
+                   {"rate", r.rate},
+                   {"burst", r.burst},
+                   {"admitted_per_s", r.mean},
+                   {"most_over_bound", r.most_over},
+                   {"slices", r.slices},
+                   {"by_balancer", r.by}});
+  return all;
+}
+
 json of(const Report& r) {
   const auto& f = r.figures;
   json rules_kept = json::object(), breaches = json::array(), slices = json::array(),
@@ -99,6 +112,9 @@
             {"lag_p99_ms", f.lag_p99},
             {"lag_most_ms", f.lag_most}}},
           {"balancer_us_per_visit", f.balancer_us},
+          {"fleet_limits", of(f.limits)},
+          {"letters_per_s_each", f.letters_per_s},
+          {"letter_bytes_per_s_each", f.letter_bytes_per_s},
           {"slices", slices}};
 }
 
@@ -206,6 +222,17 @@
       "\n  balancers %.0f us a visit; load tool %.0f us a try, late by %.2f ms at the median, %.1f ms at "
       "most\n",
       f.balancer_us, f.load_us, f.lag_p50, f.lag_most);
+  for (const auto& t : f.tenants)
+    if (f.tenants.size() > 1)
+      out += text("  tenant %s: %.1f%% delivered of %llu, p99 %.0f ms\n", t.name.c_str(),
+                  100.0 * static_cast<double>(t.delivered) / std::max<double>(1, static_cast<double>(t.came)),
+                  static_cast<unsigned long long>(t.came), t.latency.at(0.99));
+  for (const auto& l : f.limits)
+    out += text("  limit %s of %.4g a second: %.1f admitted, at most %.0f visits under its bound%s\n",
+                l.name.c_str(), l.rate, l.mean, std::abs(l.most_over), l.most_over > 0 ? " OVER" : "");
+  if (!f.limits.empty())
+    out += text("  letters: %.1f and %.0f bytes a second from each balancer\n", f.letters_per_s,
+                f.letter_bytes_per_s);
   if (f.stopped) out += "  STOPPED BEFORE ITS END: what was out then counts as unserved\n";
   if (f.lag_p99 > late_ms) out += "  THE LOAD TOOL WAS LATE: these figures are not the balancer's\n";
   for (const auto& x : f.recoveries)
@@ -270,6 +297,16 @@
                   {"late", "#c77700", [=](const Slice& s) { return per_second(s.late, ms); }},
                   {"bounced", "#1f5fbf", [=](const Slice& s) { return per_second(s.bounced, ms); }},
                   {"errored", "#b00020", [=](const Slice& s) { return per_second(s.errored, ms); }}});
+    for (const auto& l : f.limits) {
+      auto at = [&f](const Slice& s) { return static_cast<std::size_t>(s.at_ms / f.slice_ms); };
+      std::vector<Series> series{{"limit", "#b00020", [&l](const Slice&) { return l.rate; }},
+                                 {"all", "#222", [&l, at](const Slice& s) { return l.slices[at(s)]; }}};
+      constexpr const char* colours[] = {"#1f5fbf", "#1b6e2e", "#c77700", "#7a3fb0", "#0097a7", "#a0522d"};
+      for (std::size_t b = 0; b < l.by.size(); ++b)
+        series.push_back({"b" + std::to_string(b), colours[b % std::size(colours)],
+                          [&l, at, b](const Slice& s) { return l.by[b][at(s)]; }});
+      html += plot(e, f, "admitted of " + l.name + ", by the servers' records", "1/s", series);
+    }
     html += plot(e, f, "latency of what was delivered, from the intended time", "ms",
                  {{"median", "#1f5fbf", [](const Slice& s) { return s.latency.at(0.5); }},
                   {"99th hundredth", "#b00020", [](const Slice& s) { return s.latency.at(0.99); }}});
@@ -324,6 +361,10 @@
            sum += r.after_ms.value_or(static_cast<double>(f.slices.size()) * f.slice_ms - r.until_ms) / 1000;
          return f.recoveries.empty() ? 0 : sum / static_cast<double>(f.recoveries.size());
        }},
+      {"limit, admitted", "1/s",
+       [](const Figures& f) { return f.limits.empty() ? 0 : f.limits.front().mean; }},
+      {"limit, most over", "visits",
+       [](const Figures& f) { return f.limits.empty() ? 0 : f.limits.front().most_over; }},
       {"balancers", "us a visit", [](const Figures& f) { return f.balancer_us; }},
       {"breaches", "", [](const Figures& f) { return static_cast<double>(f.verdict.breaches.size()); }},
   };
