--- a/src/fleet/file.cpp
+++ b/src/fleet/file.cpp
@@ -65,18 +65,37 @@
   return all;
 }
 
+std::vector<std::string> Charter::settle(const std::vector<std::string>& of_start,
+                                         const std::vector<std::string>& prefixes_of_start) {
+  std::vector<std::string> lost;
+  tenants = of_start;
+  prefixes = prefixes_of_start;
+  for (auto& l : terms.limits) {
+    l.tenant = l.tenant_name.empty()        ? any
+               : l.tenant_name == no_tenant ? others
+                                            : place_in(tenants, l.tenant_name);
+    l.prefix = l.prefix_name.empty() ? any : place_in(prefixes, l.prefix_name);
+    if ((l.tenant != others || l.tenant_name == no_tenant) && l.prefix != -1) continue;
+    l.tenant = none;
+    lost.push_back(l.name);
+  }
+  return lost;
+}
+
 void FileReader::limit(Reader& r) {
-  Stated s;
-  r.get("tenant", s.tenant);
-  r.get("prefix", s.prefix);
-  if (s.tenant.empty() && s.prefix.empty()) r.wrong("tenant", "or a prefix is needed");
+  Limit l;
+  r.get("tenant", l.tenant_name);
+  r.get("prefix", l.prefix_name);
+  if (l.tenant_name.empty() && l.prefix_name.empty()) r.wrong("tenant", "or a prefix is needed");
+  l.name =
+      (l.tenant_name.empty() ? "*" : l.tenant_name) + "/" + (l.prefix_name.empty() ? "*" : l.prefix_name);
   r.need("rate");
-  r.get("rate", s.rate, 0.001, 1e7);
+  r.get("rate", l.rate, 0.001, 1e7);
   r.need("burst");
-  r.get("burst", s.burst, 0, 1e7);
+  r.get("burst", l.burst, 0, 1e7);
   int kind = 0;
   r.choose("kind", kind, {"hard"});
-  stated_.push_back(std::move(s));
+  stated_.push_back(std::move(l));
 }
 
 std::optional<Charter> FileReader::read(Reader& root, const std::vector<std::string>& tenants,
@@ -86,8 +105,6 @@
     return {};
   }
   Charter c;
-  c.tenants = static_cast<int>(tenants.size());
-  c.prefixes = static_cast<int>(prefixes.size());
   root.table("fleet", [&](Reader& r) {
     r.need("name");
     r.get("name", c.name);
@@ -124,23 +141,16 @@
   for (const auto& m : c.members)
     if (m.name == c.name) c.terms.part = m.part / parts;
   c.terms.instances = std::max(1, static_cast<int>(c.members.size()));
+  c.terms.limits = stated_;
+  for (const auto& name : c.settle(tenants, prefixes))
+    root.wrong("limits", "name a tenant or a path prefix that is not there: " + name);
   std::set<std::string> taken;
-  for (const auto& s : stated_) {
-    Limit l{.name = (s.tenant.empty() ? "*" : s.tenant) + "/" + (s.prefix.empty() ? "*" : s.prefix)};
-    l.rate = s.rate;
-    l.burst = s.burst;
-    if (!s.tenant.empty()) l.tenant = place_in(tenants, s.tenant);
-    if (l.tenant == others && s.tenant != no_tenant)
-      root.wrong("limits", "name a tenant that is not there: " + s.tenant);
-    if (!s.prefix.empty()) l.prefix = place_in(prefixes, s.prefix);
-    if (!s.prefix.empty() && l.prefix < 0)
-      root.wrong("limits", "name a path prefix that is not there: " + s.prefix);
+  for (const auto& l : c.terms.limits) {
     if (!taken.insert(l.name).second) root.wrong("limits", "state one twice: " + l.name);
     // A visit needs a whole right where it arrives.
     if (still_share * l.burst / c.terms.instances < 1)
       root.wrong("limits", "leave less than one visit at each instance: burst of " + l.name + " is below " +
                                plain(std::ceil(c.terms.instances / still_share)));
-    c.terms.limits.push_back(std::move(l));
   }
   if (c.terms.limits.size() > membership::most_limits)
     root.wrong("limits", "of the fleet are more than " + std::to_string(membership::most_limits));
--- a/src/fleet/file.hpp
+++ b/src/fleet/file.hpp
@@ -25,11 +25,14 @@
   std::string name;
   transport::Address listen;
   membership::Timing timing;
-  double letters_per_s = 200;  // asks and answers, beside the rounds of news
+  double letters_per_s = 200;   // asks and answers, beside the rounds of news
   std::vector<Member> members;  // this one among them
   Terms terms;
-  int tenants = 0, prefixes = 0;
+  std::vector<std::string> tenants, prefixes;  // by their place
 
+  // Finds the places of what limits name; those that are not there are named, and hold for nobody.
+  std::vector<std::string> settle(const std::vector<std::string>& tenants,
+                                  const std::vector<std::string>& prefixes);
   // Over all that has to be the same everywhere: names, parts, limits, lease.
   [[nodiscard]] std::uint64_t pact() const;
   // The bound in words, a line for each limit; for `check`.
@@ -45,11 +48,7 @@
                               const std::vector<std::string>& prefixes);
 
  private:
-  struct Stated {
-    std::string tenant, prefix;
-    double rate = 0, burst = 0;
-  };
-  std::vector<Stated> stated_;
+  std::vector<Limit> stated_;
 };
 
 }  // namespace meadow::fleet
--- a/src/fleet/limits.hpp
+++ b/src/fleet/limits.hpp
@@ -13,13 +13,15 @@
 
 using membership::Rights;
 
-inline constexpr int any = -2, others = -1;  // of tenants: each; those that the file does not name, together
+// Of tenants: none at all; each; those that the file does not name, together.
+inline constexpr int none = -3, any = -2, others = -1;
 
 struct Limit {
   std::string name;
-  int tenant = any, prefix = any;  // by their place in the file
-  double rate = 0;                 // visits a second, of the whole fleet
-  double burst = 0;                // visits
+  int tenant = any, prefix = any;            // by their place in the file of the start
+  double rate = 0;                           // visits a second, of the whole fleet
+  double burst = 0;                          // visits
+  std::string tenant_name{}, prefix_name{};  // empty: any
 };
 
 // What all instances of a fleet hold alike, and this one's part.
--- a/src/program/fleet_desk.cpp
+++ b/src/program/fleet_desk.cpp
@@ -40,7 +40,7 @@
       boot_(static_cast<std::uint64_t>(start_)),
       pact_(charter_.pact()),
       roll_(charter_.name, boot_, charter_.timing, seed),
-      limits_(charter_.terms, charter_.tenants, charter_.prefixes, start_),
+      limits_(fresh_limits()),
       post_(loop, clock_, [this](int peer, const Letter& l, double now) { came(peer, l, now); }),
       timer_(timer(tick_ms)) {
   list();
@@ -67,6 +67,11 @@
   shown_.assign(static_cast<std::size_t>(roll_.size()), Standing::gone);
 }
 
+fleet::Limits FleetDesk::fresh_limits() const {
+  return {charter_.terms, static_cast<int>(charter_.tenants.size()),
+          static_cast<int>(charter_.prefixes.size()), clock_.now()};
+}
+
 double FleetDesk::take(int tenant, int prefix) {
   if (off_) return 0;
   double wait = limits_.take(tenant, prefix, clock_.now());
@@ -82,7 +87,7 @@
 void FleetDesk::leave() {
   if (std::exchange(left_, true)) return;
   post_.close();
-  limits_ = fleet::Limits(charter_.terms, charter_.tenants, charter_.prefixes, clock_.now());
+  limits_ = fresh_limits();
 }
 
 void FleetDesk::reload(const std::optional<fleet::Charter>& charter) {
@@ -100,14 +105,16 @@
   next.listen = charter_.listen;
   next.timing = charter_.timing;
   next.terms.lease_ms = charter_.terms.lease_ms;
-  next.tenants = charter_.tenants;  // those of the start: settings hold from the next start on
-  next.prefixes = charter_.prefixes;
+  // Visits are told apart by the names of the start: settings hold from the next start on.
+  for (const auto& name : next.settle(charter_.tenants, charter_.prefixes))
+    say_(Level::warning,
+         "fleet: limit " + name + " names what was not there at the start: holds from the next one on");
   charter_ = std::move(next);
   list();
   auto pact = charter_.pact();
   // What was off has not been lending for nobody knows how long: as after a start.
   if (std::exchange(off_, false))
-    limits_ = fleet::Limits(charter_.terms, charter_.tenants, charter_.prefixes, now);
+    limits_ = fresh_limits();
   else if (pact != pact_)
     limits_.reload(charter_.terms, now);
   pact_ = pact;
@@ -175,10 +182,12 @@
   if (read(timer_.get(), &times, sizeof times) > 0 && !off_) tick(clock_.now());
 }
 
-void FleetDesk::open(double now) {
+void FleetDesk::open() {
   std::string why;
   if (post_.open(charter_.listen, why)) {
-    limits_.begin(now);
+    // Read anew: one that was frozen before it had the address may have waited for a predecessor that lent
+    // on.
+    limits_.begin(clock_.now());
     say_(Level::info, "fleet: is " + charter_.name + " at " + charter_.listen.text());
   } else if (std::exchange(no_address_, why) != why) {
     say_(Level::error, "fleet: " + charter_.listen.text() + " can't be had: " + why +
@@ -190,7 +199,7 @@
   if (left_) return;
   if (!post_.is_open() && now >= open_at_) {
     open_at_ = now + open_every_ms;
-    open(now);
+    open();
   }
   if (post_.is_open()) {
     if (now >= tell_at_) tell(now);
--- a/src/program/fleet_desk.hpp
+++ b/src/program/fleet_desk.hpp
@@ -36,7 +36,8 @@
   void came(int peer, const membership::Letter& letter, double now);
   void list();
   void tick(double now);
-  void open(double now);
+  void open();
+  [[nodiscard]] fleet::Limits fresh_limits() const;
   void tell(double now);
   void ask(double now);
   void compare(double now);  // files with those of others
--- a/src/rehearsal/experiment.cpp
+++ b/src/rehearsal/experiment.cpp
@@ -173,6 +173,7 @@
     r.get("after_errors", e_.retries.after_errors);
     r.get("marked", e_.retries.marked);
     r.get("connections", e_.connections, 0, 100000);
+    r.get("fresh_connections", e_.fresh_connections);
     r.get("most_connections", e_.most_connections, 1, 100000);
     r.get("workers", e_.workers, 1, 64);
     e_.traffic.zones = shares(r);
--- a/src/rehearsal/experiment.hpp
+++ b/src/rehearsal/experiment.hpp
@@ -95,7 +95,8 @@
   std::vector<TenantSpec> tenants;
   TrafficSpec traffic;
   RetrySpec retries;
-  int connections = 0;  // kept from the begin on; 0: as many as it takes
+  int connections = 0;             // kept from the begin on; 0: as many as it takes
+  bool fresh_connections = false;  // one for each visit, so that the front deals evenly
   int most_connections = 20000;
   int workers = 1;                 // threads of the load tool
   double front_notices_ms = 1500;  // how long the front goes on dealing to a dead balancer
--- a/src/rehearsal/stand/caller.cpp
+++ b/src/rehearsal/stand/caller.cpp
@@ -106,7 +106,7 @@
       std::from_chars(advice.data(), advice.data() + advice.size(), o.advice);
     o.advice *= 1000;
   }
-  bool keep = whole && c.answer.keep_alive() && c.stream.flushed();
+  bool keep = whole && !limits_.fresh && c.answer.keep_alive() && c.stream.flushed();
   c.answer.reset();
   c.busy = false;
   c.used = true;
--- a/src/rehearsal/stand/caller.hpp
+++ b/src/rehearsal/stand/caller.hpp
@@ -40,6 +40,7 @@
   };
   struct Limits {
     std::size_t connections = 20000;
+    bool fresh = false;   // a connection for each visit
     bool rotate = false;  // kept connections take turns; otherwise the one used last goes first
   };
 
--- a/tests/operator_test.cpp
+++ b/tests/operator_test.cpp
@@ -56,6 +56,86 @@
   EXPECT_EQ(example.descriptors, bare.descriptors);
 }
 
+const std::string three = least + R"x([[tenants]]
+name = "acme"
+[limits]
+[[limits.fleet]]
+tenant = "acme"
+rate = 300
+burst = 60
+[[limits.fleet]]
+tenant = "(others)"
+prefix = "view"
+rate = 30
+burst = 12
+[fleet]
+name = "b1"
+listen = "127.0.0.1:7001"
+[[fleet.peers]]
+name = "b0"
+address = "127.0.0.1:7000"
+part = 2
+[[fleet.peers]]
+name = "b1"
+address = "127.0.0.1:7001"
+[[fleet.peers]]
+name = "b2"
+address = "127.0.0.1:7002"
+)x";
+
+std::string with(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(OperatorFile, AFleetIsReadAndItsBoundIsSaid) {
+  std::vector<Problem> problems;
+  auto s = read_operator_file(settings::read_text(three, "f"), 7, problems);
+  ASSERT_TRUE(problems.empty());
+  ASSERT_TRUE(s.fleet);
+  EXPECT_EQ(s.fleet->terms.part, 0.25);
+  ASSERT_EQ(s.fleet->terms.limits.size(), 2u);
+  EXPECT_EQ(s.fleet->terms.limits[0].tenant, 0);
+  EXPECT_EQ(s.fleet->terms.limits[1].tenant, fleet::others);
+  EXPECT_EQ(s.fleet->terms.limits[1].prefix, 0);
+  EXPECT_EQ(
+      s.fleet->bounds()[0],
+      "limit acme/*: over any W ms the fleet admits at most 0.3 * W + 60; alone, this instance goes on with "
+      "75 a second, 1010 ms after a cut or a start at the latest; at rest it holds 10 of the burst");
+  // The pact is the same for another instance and another order of peers; not for another part.
+  auto other =
+      with(three, "name = \"b1\"\nlisten = \"127.0.0.1:7001", "name = \"b2\"\nlisten = \"127.0.0.1:7002");
+  EXPECT_EQ(read_operator_file(settings::read_text(other, "f"), 7, problems).fleet->pact(), s.fleet->pact());
+  auto parts = with(three, "part = 2", "part = 3");
+  EXPECT_NE(read_operator_file(settings::read_text(parts, "f"), 7, problems).fleet->pact(), s.fleet->pact());
+  // Without the table nothing of it is there.
+  EXPECT_FALSE(read_operator_file(settings::read_text(least, "f"), 7, problems).fleet);
+  // A reload that names a tenant which was not there at the start holds it for nobody, under the same number.
+  auto c = *s.fleet;
+  EXPECT_EQ(c.settle({}, {"view"}), std::vector<std::string>{"acme/*"});
+  EXPECT_EQ(c.terms.limits[0].tenant, fleet::none);
+  EXPECT_EQ(c.pact(), s.fleet->pact());
+}
+
+TEST(OperatorFile, AFleetsProblemsAreNamed) {
+  auto only = [](const std::string& text) {
+    auto all = problems_of(text);
+    EXPECT_EQ(all.size(), 1u) << text;
+    return all.empty() ? std::string() : all[0].substr(all[0].find(": ") + 2);
+  };
+  EXPECT_EQ(only(with(three, "rate = 300\nburst = 60", "rate = 300\nburst = 5")),
+            "limits leave less than one visit at each instance: burst of acme/* is below 6");
+  EXPECT_EQ(only(with(three, "name = \"b1\"\nlisten", "name = \"b7\"\nlisten")),
+            "fleet.name is not among the peers: b7");
+  EXPECT_EQ(only(with(three, "tenant = \"acme\"", "tenant = \"nobody\"")),
+            "limits name a tenant or a path prefix that is not there: nobody/*");
+  EXPECT_EQ(only(with(three, "address = \"127.0.0.1:7002\"", "address = \"127.0.0.1:7000\"")),
+            "fleet.peers[2].address stands twice: 127.0.0.1:7000");
+  EXPECT_EQ(only(with(three, "address = \"127.0.0.1:7002\"", "address = \"nowhere\"")),
+            "fleet.peers[2].address is no address with a port: nowhere");
+  EXPECT_NE(only(with(three, "part = 2", "part = -1")), "");
+  EXPECT_NE(only(with(three, "part = 2", "pard = 2")), "");
+}
+
 TEST(OperatorFile, EachProblemIsNamedWithItsPlace) {
   using V = std::vector<std::string>;
   EXPECT_EQ(problems_of("limit = 1\n" + least), V{"f:1:1: limit is not known"});
