Verdicts of the fleet: two first-hand voices hold a server sick, one tries it again

Need: one balancer of many learns of a sick server by failing visits there, one or two each, again after each bench.

Change: src/fleet/verdicts, values: statements by origin and server, each with the age of its look; held where two origins that are not themselves in doubt call it bad and half as many at most were served since; 0.3 of the list at most; tried by the one that looked longest ago. The module hears of it by the call that it had (heard), its gate on settings goes, as nobody but the drill and the fleet calls it; avoided() names what it counts. News of a server goes out at once. Letters of news carry the sender's clock, so that what waited on the way or in a frozen receiver's socket is as old as it is. Off unless verdicts = true.

--- a/bench/baselines/plain.cpp
+++ b/bench/baselines/plain.cpp
@@ -128,7 +128,8 @@
 Chores Brain::tick(double) { return {}; }
 double Brain::tick_every() const { return core_->tick_ms; }
 void Brain::shut(int, bool, double) {}
-int Brain::avoided(double) const { return 0; }
+int Brain::avoided(double, std::vector<int>*) const { return 0; }
+void Brain::heard(const Told&, double) {}
 void Brain::whole(Visit& v, double due, double) {
   v.due = due;
   v.coming = false;
--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -742,7 +742,6 @@
 
   // Of a server that is not in the own list nothing is kept: hearsay lets nobody send.
   void heard(const Told& told, double now) {
-    if (!tells) return;
     keys.even_out(told.keys);
     for (const auto& w : told.words) {
       auto it = std::find_if(listed.begin(), listed.end(), [&](int i) { return bes[i].id == w.id; });
@@ -1067,10 +1066,12 @@
     }
   }
 
-  [[nodiscard]] int avoided(double now) const {
+  [[nodiscard]] int avoided(double now, std::vector<int>* sick) const {
     return static_cast<int>(std::count_if(listed.begin(), listed.end(), [&](int i) {
       const auto& be = bes[i];
-      return be.shut || (be.standing == Standing::ready && (benched(be, now) || silent(be, now)));
+      bool bad = be.standing == Standing::ready && (benched(be, now) || silent(be, now));
+      if (bad && sick) sick->push_back(i);
+      return be.shut || bad;
     }));
   }
 
@@ -1187,7 +1188,7 @@
 Chores Brain::tick(double now) { return core_->tick(now); }
 double Brain::tick_every() const { return tick_ms; }
 void Brain::shut(int be, bool out, double now) { core_->shut(be, out, now); }
-int Brain::avoided(double now) const { return core_->avoided(now); }
+int Brain::avoided(double now, std::vector<int>* sick) const { return core_->avoided(now, sick); }
 Lessons Brain::learned(double now) const { return core_->learned(now); }
 void Brain::taught(const Lessons& lessons, double now) { core_->taught(lessons, now); }
 double Brain::drop(double now) const { return core_->drop(now); }
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -167,8 +167,9 @@
   void shut(int be, bool out, double now);
   [[nodiscard]] Lessons learned(double now) const;
   void taught(const Lessons& lessons, double now);
-  // Listed servers that get nothing just now: out by hand, benched or silent.
-  [[nodiscard]] int avoided(double now) const;
+  // Listed servers that get nothing just now: out by hand, benched or silent; `sick` gets those that it has
+  // found to be so itself.
+  [[nodiscard]] int avoided(double now, std::vector<int>* sick = nullptr) const;
 
   // For on-call staff and tests: the standing drop fraction.
   [[nodiscard]] double drop(double now) const;
--- a/src/fleet/file.cpp
+++ b/src/fleet/file.cpp
@@ -112,6 +112,7 @@
     r.get("lease_ms", c.terms.lease_ms, 100, 60000);
     r.get("every_ms", c.timing.every_ms, 20, 10000);
     r.get("fanout", c.timing.fanout, 1, 64);
+    r.get("verdicts", c.verdicts);
     r.get("letters_per_s", c.letters_per_s, 1, 100000);
     r.get("suspected_ms", c.timing.suspected_ms, 100, 600000);
     r.get("gone_ms", c.timing.gone_ms, 100, 3600000);
--- a/src/fleet/file.hpp
+++ b/src/fleet/file.hpp
@@ -25,6 +25,7 @@
   std::string name;
   transport::Address listen;
   membership::Timing timing;
+  bool verdicts = false;        // on servers, held by all together
   double letters_per_s = 200;   // asks and answers, beside the rounds of news
   std::vector<Member> members;  // this one among them
   Terms terms;
--- a/src/membership/letter.cpp
+++ b/src/membership/letter.cpp
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 #include <cmath>
-#include <cstring>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 
 namespace meadow::membership {
@@ -30,8 +30,15 @@
   auto lendable = json::array();
   for (const auto& r : l.lendable)
     lendable.push_back(r.limit), lendable.push_back(static_cast<std::uint64_t>(r.rate * hundredths));
-  return json::array({l.name, l.boot, l.beat, static_cast<std::uint64_t>(l.age), l.pact == pact ? 0 : l.pact,
-                      std::move(lendable)});
+  auto all = json::array({l.name, l.boot, l.beat, static_cast<std::uint64_t>(l.age),
+                          l.pact == pact ? 0 : l.pact, std::move(lendable)});
+  if (l.sayings.empty()) return all;
+  all.push_back(static_cast<std::uint64_t>(l.doubt * hundredths));
+  for (const auto& s : l.sayings)
+    for (std::uint64_t part : {static_cast<std::uint64_t>(s.server), std::uint64_t{s.bad},
+                               static_cast<std::uint64_t>(s.age), static_cast<std::uint64_t>(s.since)})
+      all.push_back(part);
+  return all;
 }
 
 std::string with_sum(const json& j) {
@@ -80,6 +87,22 @@
       into.push_back(r);
     }
   }
+  // Four numbers each, from the seventh place of a look on.
+  void sayings(const json& j, std::vector<Saying>& into) {
+    if ((j.size() - 7) % 4 != 0) return static_cast<void>(spoil(Spoilt::torn));
+    for (std::size_t i = 7; i < j.size() && good(); i += 4) {
+      std::uint64_t server = 0, bad = 0;
+      Saying s;
+      whole(j[i], server);
+      whole(j[i + 1], bad);
+      number(j[i + 2], s.age, oldest_look_ms);
+      number(j[i + 3], s.since, oldest_look_ms);
+      if (server > UINT32_MAX || bad > 1) spoil(Spoilt::range);
+      s.server = static_cast<std::uint32_t>(server);
+      s.bad = bad == 1;
+      into.push_back(s);
+    }
+  }
   [[nodiscard]] bool good() const { return spoilt_ == Spoilt::none; }
 
  private:
@@ -148,7 +171,7 @@
   if (!t.good() || !looks) return l;
   l.kind = static_cast<Letter::Kind>(kind);
   for (const auto& one : *looks) {
-    if (!t.list(one, 6, 6)) return l;
+    if (!t.list(one, 6, 7 + 4 * most_sayings)) return l;
     auto& look = l.looks.emplace_back();
     t.name(one[0], look.name);
     t.whole(one[1], look.boot);
@@ -156,6 +179,11 @@
     t.number(one[3], look.age, oldest_look_ms);
     t.whole(one[4], look.pact);
     t.rights(one[5], look.lendable);
+    if (one.size() > 6) {
+      t.number(one[6], look.doubt, hundredths);
+      look.doubt /= hundredths;
+      t.sayings(one, look.sayings);
+    }
     if (!t.good()) return l;
     if (look.pact == 0) look.pact = l.pact;
     for (auto& r : look.lendable) r.rate /= hundredths;
--- a/src/membership/letter.hpp
+++ b/src/membership/letter.hpp
@@ -21,21 +21,33 @@
   bool operator==(const Rights&) const = default;
 };
 
+// What an instance has itself met of a server.
+struct Saying {
+  std::uint32_t server = 0;
+  bool bad = false;
+  double age = 0,
+         since = 0;  // ms before the look was made: of its last sight of it, and of when a bad one began
+};
+inline constexpr std::size_t most_sayings = 8;
+
 // What an instance says of itself, handed on by others as it is but for its age.
 struct Look {
   std::string name;
-  std::uint64_t boot = 0;        // ms of Unix time at its start
-  std::uint64_t beat = 0;        // counts its looks from 1
-  double age = 0;                // ms since its origin made it
-  std::uint64_t pact = 0;        // a sum over what all have to hold alike
-  std::vector<Rights> lendable;  // what it would lend now
+  std::uint64_t boot = 0;          // ms of Unix time at its start
+  std::uint64_t beat = 0;          // counts its looks from 1
+  double age = 0;                  // ms since its origin made it
+  std::uint64_t pact = 0;          // a sum over what all have to hold alike
+  std::vector<Rights> lendable{};  // what it would lend now
+  double doubt = 0;                // the share that is bad of the servers it has met
+  std::vector<Saying> sayings{};
 };
 
 struct Letter {
   std::string from;
   std::uint64_t boot = 0, seq = 0, pact = 0;
   std::vector<Look> looks;
-  // An ask carries the asker's clock, in ms since its start; a grant echoes it, with the asker's boot.
+  // News and asks carry their sender's clock, in ms since its start; a grant echoes an ask's, with the
+  // asker's boot.
   enum Kind : std::uint8_t { news, ask, grant } kind = news;
   double stamp = 0;
   std::uint64_t to_boot = 0;
--- a/src/membership/roll.cpp
+++ b/src/membership/roll.cpp
@@ -57,6 +57,7 @@
   if (boot < p.boot && p.known && now - p.made_at < timing_.gone_ms * slower_) return false;
   p.boot = boot;
   p.seq = p.window = 0;
+  p.quickest_at = -1;
   p.known = false;
   p.look = {};
   return true;
@@ -78,6 +79,17 @@
   return Order::fresh;
 }
 
+// The least may be too little by as much as two clocks part meanwhile.
+double Roll::held_up(int peer, double stamp, double now) {
+  constexpr double parting = 0.001;
+  auto& p = at(peer);
+  double ahead = now - stamp;
+  double least = p.quickest_at < 0 ? ahead : std::min(ahead, p.quickest + (now - p.quickest_at) * parting);
+  p.quickest = least;
+  p.quickest_at = now;
+  return ahead - least;
+}
+
 // The age counts from the look's making: one that was held up on its way is as old as it is, but for that
 // way.
 Order Roll::heard(const Look& look, double now) {
--- a/src/membership/roll.hpp
+++ b/src/membership/roll.hpp
@@ -38,6 +38,7 @@
   [[nodiscard]] const std::string& name(int peer) const { return at(peer).name; }
   [[nodiscard]] std::uint64_t boot(int peer) const { return at(peer).boot; }
   [[nodiscard]] std::uint64_t pact(int peer) const { return at(peer).look.pact; }
+  [[nodiscard]] const Look& look(int peer) const { return at(peer).look; }
   [[nodiscard]] const std::vector<Rights>& lendable(int peer) const { return at(peer).look.lendable; }
   [[nodiscard]] double age(int peer,
                            double now) const;  // ms since its newest look was made; never heard: infinite
@@ -46,6 +47,10 @@
 
   // A letter has come from that peer: whether it counts.
   Order came(int peer, std::uint64_t boot, std::uint64_t seq, double now);
+  // How much longer than the quickest of its sender's letters one that counts was on its way, in ms, waiting
+  // in our own socket while we were frozen included. `stamp`: the sender's clock as it was sent, from its
+  // start.
+  double held_up(int peer, double stamp, double now);
   // A look, first hand or handed on. Looks at who is not listed, or at this one, are `doubled`.
   Order heard(const Look& look, double now);
 
@@ -63,6 +68,8 @@
     Look look{};
     double made_at = 0;  // when the newest look was made, by our clock
     bool known = false;
+    double quickest = 0,
+           quickest_at = -1;  // what our clock was ahead of its stamps, at the least; -1: not known
   };
   [[nodiscard]] const Peer& at(int peer) const { return peers_[static_cast<std::size_t>(peer)]; }
   Peer& at(int peer) { return peers_[static_cast<std::size_t>(peer)]; }
--- a/src/program/fleet_desk.cpp
+++ b/src/program/fleet_desk.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/timerfd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <system_error>
 
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr double tick_ms = 25;
+constexpr double hold_every_ms = 50;    // how soon a verdict is acted upon
+constexpr double news_every_ms = 50;    // rounds beside the usual, while there is news of servers
 constexpr double open_every_ms = 100;   // a predecessor gives the address up at any time
 constexpr double log_every_ms = 60000;  // a line for each kind
 
@@ -41,6 +44,7 @@
       pact_(charter_.pact()),
       roll_(charter_.name, boot_, charter_.timing, seed),
       limits_(fresh_limits()),
+      verdicts_(charter_.name),
       post_(loop, clock_, [this](int peer, const Letter& l, double now) { came(peer, l, now); }),
       timer_(timer(tick_ms)) {
   list();
@@ -84,6 +88,10 @@
 }
 
 // What was lent and borrowed goes on in nobody's hands: the successor begins as after a crash.
+void FleetDesk::served(std::uint32_t server) {
+  if (charter_.verdicts) verdicts_.served(server, clock_.now());
+}
+
 void FleetDesk::leave() {
   if (std::exchange(left_, true)) return;
   post_.close();
@@ -159,7 +167,13 @@
     case Order::doubled:
       return post_.drop(Dropped::doubled);
   }
-  for (const auto& look : l.looks) roll_.heard(look, now);
+  double late = l.kind == Letter::news ? roll_.held_up(peer, l.stamp, now) : 0;
+  for (auto look : l.looks) {
+    look.age += late;
+    if (roll_.heard(look, now) == Order::fresh && charter_.verdicts &&
+        verdicts_.heard(look.name, look.sayings, look.doubt, now - look.age))
+      news_ = true;
+  }
   if (l.kind == Letter::news || l.pact != pact_) return;
   if (l.kind == Letter::ask) {
     if (!may_send(now)) return;  // before anything is lent for it
@@ -202,19 +216,27 @@
     open();
   }
   if (post_.is_open()) {
-    if (now >= tell_at_) tell(now);
     compare(now);
+    if (charter_.verdicts && balancer_ && now >= hold_at_) hold(now);
+    if (now >= tell_at_ || (news_ && now >= told_at_ + news_every_ms)) tell(now);
     if (now >= ask_at_ || (limits_.urgent() && now >= urgent_at_)) ask(now);
   }
   if (now >= log_at_) log(now);
 }
 
 void FleetDesk::tell(double now) {
-  tell_at_ = std::max(tell_at_ + charter_.timing.every_ms, now);
+  if (now >= tell_at_) tell_at_ = std::max(tell_at_ + charter_.timing.every_ms, now);
+  told_at_ = now;
+  news_ = false;
   auto own = roll_.own(limits_.lendable(now), pact_);
+  if (charter_.verdicts) {
+    own.sayings = verdicts_.sayings(now);
+    own.doubt = verdicts_.doubt(now);
+  }
   for (int to : roll_.targets()) {
     auto l = letter(Letter::news);
     l.looks = roll_.news(own, now);
+    l.stamp = clock_.now() - start_;
     std::size_t told = 0;
     post_.send(to, membership::write_letter(l, told));
     roll_.told(told);
@@ -256,6 +278,33 @@
     say_(Level::info, "fleet: all agree on the file; its parts hold");
 }
 
+// The module lets a word fade; as long as the fleet holds a server it is said again. One that is held no more
+// is said to be well by a word newer than the last.
+void FleetDesk::hold(double now) {
+  hold_at_ = now + hold_every_ms;
+  news_ = verdicts_.suspects(balancer_->suspects(), now) || news_;
+  std::vector<std::string> alive, known;
+  for (int i = 0; i < roll_.size(); ++i) {
+    if (!roll_.listed(i)) continue;
+    known.push_back(roll_.name(i));
+    if (roll_.standing(i, now) == Standing::alive) alive.push_back(roll_.name(i));
+  }
+  std::sort(alive.begin(), alive.end());
+  std::sort(known.begin(), known.end());
+  verdicts_.forget(known, now);
+  auto held = verdicts_.held(balancer_->listed(), alive, now);
+  Told told;
+  for (auto s : held) told.words.push_back({.id = s, .wait = 0, .sick = 1, .age = 0});
+  for (auto s : held_)
+    if (std::find(held.begin(), held.end(), s) == held.end())
+      told.words.push_back({.id = s, .wait = 0, .sick = 0, .age = 0});
+  if (held != held_)
+    say_(Level::info, "fleet: servers held sick: " + std::to_string(held.size()),
+         {{"servers", static_cast<double>(held.size())}});
+  held_ = std::move(held);
+  if (!told.words.empty()) balancer_->heard(told);
+}
+
 void FleetDesk::log(double now) {
   log_at_ = now + log_every_ms;
   const auto& dropped = post_.figures().dropped;
@@ -280,6 +329,7 @@
                                                   {"fleet.gone", of[2]},
                                                   {"fleet.address", post_.is_open()},
                                                   {"fleet.agreed", limits_.whole()},
+                                                  {"fleet.servers_held", static_cast<double>(held_.size())},
                                                   {"fleet.sent", static_cast<double>(p.sent)},
                                                   {"fleet.sent_bytes", static_cast<double>(p.sent_bytes)},
                                                   {"fleet.came", static_cast<double>(p.came)},
--- a/src/program/fleet_desk.hpp
+++ b/src/program/fleet_desk.hpp
@@ -7,9 +7,10 @@
 #include <vector>
 
 #include "fleet/file.hpp"
+#include "fleet/verdicts.hpp"
 #include "membership/post.hpp"
 #include "membership/roll.hpp"
-#include "routing/gate.hpp"
+#include "routing/balancer.hpp"
 #include "routing/say.hpp"
 #include "transport/clock.hpp"
 
@@ -23,7 +24,10 @@
 
   double take(int tenant, int prefix) override;
   void give_back(int tenant, int prefix) override;
+  void served(std::uint32_t server) override;
   void leave() override;
+  // Whose servers verdicts are on; outlives this.
+  void stands_before(routing::Balancer& balancer) { balancer_ = &balancer; }
 
   // A new file: peers and limits as a whole. Nothing: it has no [fleet] any more, and holds no limit from now
   // on.
@@ -40,6 +44,7 @@
   [[nodiscard]] fleet::Limits fresh_limits() const;
   void tell(double now);
   void ask(double now);
+  void hold(double now);     // servers, by the fleet's verdicts
   void compare(double now);  // files with those of others
   void log(double now);
   [[nodiscard]] membership::Letter letter(membership::Letter::Kind kind);
@@ -54,11 +59,15 @@
   std::uint64_t boot_, seq_ = 0, pact_;
   membership::Roll roll_;
   fleet::Limits limits_;
+  fleet::Verdicts verdicts_;
+  routing::Balancer* balancer_ = nullptr;
+  std::vector<std::uint32_t> held_;
+  bool news_ = false;  // a server is bad that was not: told at once
   membership::Post post_;
   transport::Fd timer_;
   std::uint64_t token_ = 0;
   bool off_ = false, left_ = false, whole_ = true;
-  double open_at_ = 0, tell_at_ = 0, ask_at_ = 0, urgent_at_ = 0, log_at_ = 0;
+  double open_at_ = 0, tell_at_ = 0, ask_at_ = 0, urgent_at_ = 0, hold_at_ = 0, told_at_ = 0, log_at_ = 0;
   double letters_left_ = 0, letters_at_ = 0;  // asks and answers
   std::uint64_t held_back_ = 0;
   std::string no_address_;  // why it can't be had
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -81,6 +81,7 @@
   if (setup.fleet) {
     fleet.emplace(loop, *setup.fleet, setup.seed, say);
     serving.gate(&*fleet);
+    fleet->stands_before(serving);
   }
   if (setup.mgmt) {
     office.emplace(loop, serving, *shift, *setup.mgmt, say, fleet ? &*fleet : nullptr);
--- a/src/rehearsal/experiment.cpp
+++ b/src/rehearsal/experiment.cpp
@@ -218,6 +218,7 @@
     bool direct = false;
     r.get("direct", direct);
     r.get("fleet", b.fleet);
+    r.get("verdicts", b.verdicts);
     r.get("program", b.program);
     r.get("args", b.args);
     std::vector<std::string> set;
@@ -257,6 +258,7 @@
     r.get("lease_ms", f.lease_ms, 100, 60000);
     r.get("every_ms", f.every_ms, 20, 10000);
     r.get("fanout", f.fanout, 1, 64);
+    r.get("verdicts", f.verdicts);
     f.members = numbers(r, "members");
     std::vector<std::string> parts;
     r.get("parts", parts);
@@ -336,7 +338,8 @@
       r.wrong("strikes", "want a tier with relays = true");
     if (e_.prefixes.empty()) r.wrong("path_prefixes", "are none");
     if (e_.tiers.empty()) r.wrong("tiers", "are none");
-    if (e_.builds.empty()) e_.builds.push_back({"module", "build/meadowgauge", {}, {}, true});
+    if (e_.builds.empty())
+      e_.builds.push_back({.name = "module", .program = "build/meadowgauge", .args = {}, .set = {}});
     if (e_.tenants.empty()) e_.tenants.push_back({"acme", 1, 0});
     // Each try and each fetch is kept for the verdict: some 400 bytes a visit.
     if (e_.traffic.rate * e_.seconds * (1 + e_.retries.most) > most_tries)
--- a/src/rehearsal/experiment.hpp
+++ b/src/rehearsal/experiment.hpp
@@ -68,6 +68,7 @@
   std::vector<double> parts;  // by balancer; empty: alike
   std::vector<int> members;   // at the start; empty: all
   std::vector<FleetLimit> limits;
+  bool verdicts = false;
 };
 
 struct BuildSpec {
@@ -75,6 +76,7 @@
   std::string program;  // empty: straight to the servers
   std::vector<std::string> args;
   std::vector<std::pair<std::string, std::string>> set;  // settings that differ, by their path
+  bool verdicts = true;                                  // where the fleet has them
   bool fleet = true;                                     // false: the same files without [fleet]
 };
 
--- a/src/rehearsal/own_file.cpp
+++ b/src/rehearsal/own_file.cpp
@@ -65,7 +65,8 @@
         << "\nquota = " << x.quota << "\n";
   if (!build.fleet) return out.str();
   out << "[fleet]\nname = \"b" << balancer << "\"\nlisten = " << quoted(place.letters)
-      << "\nlease_ms = " << f.lease_ms << "\nevery_ms = " << f.every_ms << "\nfanout = " << f.fanout << "\n";
+      << "\nlease_ms = " << f.lease_ms << "\nevery_ms = " << f.every_ms
+      << "\nverdicts = " << (f.verdicts && build.verdicts) << "\nfanout = " << f.fanout << "\n";
   // One that is not listed yet has the file of those to come.
   bool all = members.empty() || std::find(members.begin(), members.end(), balancer) == members.end();
   for (int p = 0; p < t.balancers; ++p) {
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -403,6 +403,8 @@
     gauge = {.n = report.n, .v = report.v};
   }
   if (e.fetch & probe_bit) return brain_.probed(e.be, e.status, now_ - e.sent, gauge, now_);
+  if (gate_ && e.status == Status::delivered && e.be >= 0)
+    gate_->served(ids_[static_cast<std::size_t>(e.be)]);
   Job job = e.fetch >> fetch_bits;
   int number = static_cast<int>(e.fetch & ((1 << fetch_bits) - 1));
   bool open = visits_.unanswered(job);
@@ -477,6 +479,9 @@
     bool out = by_hand_.is_out(h);
     if (out) upstreams_.shut(be, true);
     upstreams_.place(be, h.dial, h.born_ms, active);
+    if (ids_.size() <= static_cast<std::size_t>(be)) ids_.resize(static_cast<std::size_t>(be) + 1);
+    ids_[static_cast<std::size_t>(be)] =
+        static_cast<std::uint32_t>(protocol::number_of_name(h.name)) & 0xffffff;
     entries_.push_back({.be = be,
                         .zone = place_in(zones_, h.zone),
                         .sku = place_in(kinds_, h.kind),
@@ -486,7 +491,7 @@
                         .weight = h.share,
                         .up_since = h.born_ms,
                         .shut = out,
-                        .id = static_cast<std::uint32_t>(protocol::number_of_name(h.name))});
+                        .id = ids_[static_cast<std::size_t>(be)]});
   }
   if (kind != ListKind::delta)
     for (std::size_t i = 0; i < there.size(); ++i)
@@ -575,6 +580,21 @@
   brain_.taught(mine, now_);
 }
 
+std::vector<std::uint32_t> Balancer::listed() const {
+  std::vector<std::uint32_t> all;
+  for (std::size_t i = 0; i < ids_.size(); ++i)
+    if (i < upstreams_.size() && upstreams_.listed(static_cast<int>(i))) all.push_back(ids_[i]);
+  return all;
+}
+
+std::vector<std::uint32_t> Balancer::suspects() const {
+  std::vector<int> sick;
+  static_cast<void>(brain_.avoided(now_, &sick));
+  std::vector<std::uint32_t> all;
+  for (int i : sick) all.push_back(ids_[static_cast<std::size_t>(i)]);
+  return all;
+}
+
 Figures Balancer::figures() const {
   return {.calls = tally_,
           .prefixes = prefixes_,
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -78,6 +78,13 @@
   [[nodiscard]] Lessons learned() const;
   void taught(const Lessons& lessons);
 
+  // Servers by the numbers they have at every balancer: those of the list that get visits, and those that the
+  // module has found sick itself.
+  [[nodiscard]] std::vector<std::uint32_t> listed() const;
+  [[nodiscard]] std::vector<std::uint32_t> suspects() const;
+  // What is known of servers from elsewhere.
+  void heard(const Told& told) { brain_.heard(told, now_); }
+
   [[nodiscard]] Figures figures() const;
   // Whether discovery lists a server of that name.
   [[nodiscard]] bool lists(const std::string& name) const;
@@ -161,6 +168,7 @@
   Job next_job_ = 1;
   std::vector<Command> commands_;
   std::vector<Entry> entries_;
+  std::vector<std::uint32_t> ids_;  // of servers, by index
   double tick_at_, sweep_at_;
   Settings settings_;
   ByHand by_hand_;
--- a/src/routing/gate.hpp
+++ b/src/routing/gate.hpp
@@ -1,6 +1,8 @@
 // What stands before the module where a limit of the whole fleet holds: whether a right is at hand.
 #pragma once
 
+#include <cstdint>
+
 namespace meadow::routing {
 
 class Gate {
@@ -10,6 +12,8 @@
   virtual double take(int tenant, int prefix) = 0;
   // The module turned it away at its arrival all the same.
   virtual void give_back(int tenant, int prefix) = 0;
+  // A server, by the number it has at every balancer, has delivered.
+  virtual void served(std::uint32_t server) = 0;
   // A successor takes over: its address is to be free.
   virtual void leave() = 0;
 
--- /dev/null
+++ b/tests/fleet_verdicts_test.cpp
@@ -0,0 +1,177 @@
+// Verdicts of the whole fleet as values: who may hold a server sick for others, for how long, and who tries
+// it again; looks in every order, twice and late come to the same.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "fleet/verdicts.hpp"
+
+namespace meadow::fleet {
+namespace {
+
+using membership::Saying;
+using Servers = std::vector<std::uint32_t>;
+
+const Servers ten{1, 2, 3, 4, 5, 6, 7, 8, 9, 10};
+const std::vector<std::string> all{"a", "b", "c", "d", "e"};
+
+Saying bad(std::uint32_t server, double age = 0, double since = 500) { return {server, true, age, since}; }
+Saying good(std::uint32_t server, double age = 0) { return {server, false, age, 0}; }
+
+TEST(FleetVerdicts, TwoVoicesThatMetItThemselvesHoldAServer) {
+  Verdicts v("a");
+  EXPECT_TRUE(v.heard("b", {bad(3)}, 0.1, 1000));
+  EXPECT_EQ(v.held(ten, all, 1000), Servers{});
+  EXPECT_FALSE(v.heard("b", {bad(3)}, 0.1, 1200));  // the same voice again
+  EXPECT_EQ(v.held(ten, all, 1200), Servers{});
+  EXPECT_TRUE(v.heard("c", {bad(3)}, 0.1, 1200));
+  EXPECT_EQ(v.held(ten, all, 1200), Servers{3});
+  // One's own counts like another's; what is not listed here is nothing here.
+  Verdicts own("a");
+  EXPECT_TRUE(own.suspects({3}, 1000));
+  EXPECT_FALSE(own.suspects({3}, 1100));
+  for (std::uint32_t s : {1u, 2u, 4u}) own.served(s, 1000);
+  own.heard("b", {bad(3), bad(77)}, 0.1, 1000);
+  own.heard("c", {bad(77)}, 0.1, 1000);
+  EXPECT_EQ(own.held(ten, all, 1100), Servers{3});
+}
+
+TEST(FleetVerdicts, OneWhoseOwnLinksAreBadBenchesNobody) {
+  Verdicts v("a");
+  v.heard("b", {bad(3), bad(4), bad(5)}, 0.6, 1000);
+  v.heard("c", {bad(3)}, 0.1, 1000);
+  EXPECT_EQ(v.held(ten, all, 1000), Servers{});
+  Verdicts me("a");
+  me.served(1, 900);
+  EXPECT_EQ(me.doubt(1000), 0);
+  me.suspects({2, 3}, 1000);
+  EXPECT_GT(me.doubt(1000), 0.5);
+  me.heard("c", {bad(3)}, 0.1, 1000);
+  EXPECT_EQ(me.held(ten, all, 1000), Servers{});
+}
+
+TEST(FleetVerdicts, WhatIsBadForSomeIsAvoidedByThoseOnly) {
+  Verdicts v("a");
+  v.heard("b", {bad(3)}, 0.1, 1000);
+  v.heard("c", {bad(3)}, 0.1, 1000);
+  v.heard("d", {good(3, 800)}, 0, 1000);  // before the others met what they met: tells nothing
+  EXPECT_EQ(v.held(ten, all, 1000), Servers{3});
+  v.heard("d", {good(3)}, 0, 1100);
+  EXPECT_EQ(v.held(ten, all, 1100), Servers{3});
+  v.heard("e", {good(3)}, 0, 1100);
+  EXPECT_EQ(v.held(ten, all, 1100), Servers{});
+  Verdicts served("a");
+  served.heard("b", {bad(3)}, 0.1, 1000);
+  served.heard("c", {bad(3)}, 0.1, 1000);
+  served.served(3, 1050);
+  EXPECT_EQ(served.held(ten, all, 1100), Servers{});
+}
+
+TEST(FleetVerdicts, HearsayNeverTakesMoreThanItsPart) {
+  Verdicts v("a");
+  for (std::uint32_t s = 1; s <= 6; ++s)
+    for (const char* who : {"b", "c"}) v.heard(who, {bad(s)}, 0.1, 1000 + s);
+  v.heard("d", {bad(6)}, 0.1, 1010);
+  EXPECT_EQ(v.held(ten, all, 1010), (Servers{6, 1, 2}));
+  EXPECT_EQ(v.held({1, 2, 3}, all, 1010), Servers{});
+}
+
+TEST(FleetVerdicts, LapseByTheAgeOfTheLookWheneverItCame) {
+  Verdicts v("a");
+  v.heard("b", {bad(3)}, 0.1, 1000);
+  v.heard("c", {bad(3)}, 0.1, 1000);
+  EXPECT_EQ(v.held(ten, all, 1000 + Verdicts::hold_ms), Servers{3});
+  EXPECT_EQ(v.held(ten, all, 1001 + Verdicts::hold_ms), Servers{});
+  // The same looks again, and older ones, long after: as old as they are.
+  v.heard("b", {bad(3)}, 0.1, 1000);
+  v.heard("c", {bad(3, 300)}, 0.1, 1200);
+  EXPECT_EQ(v.held(ten, all, 1001 + Verdicts::hold_ms), Servers{});
+  v.forget(all, 1000 + 3 * Verdicts::hold_ms);
+  EXPECT_EQ(v.size(), 0u);
+}
+
+TEST(FleetVerdicts, OneTriesItAgainInTurnAndTheNextIfThatOneDies) {
+  std::vector<Verdicts> fleet;
+  for (const auto& name : all) fleet.emplace_back(name);
+  auto met = [&](std::size_t who, double at) {
+    for (std::uint32_t s : {1u, 2u, 4u}) fleet[who].served(s, at);
+    fleet[who].suspects({}, at);
+    fleet[who].suspects({3}, at);
+    auto said = fleet[who].sayings(at);
+    for (auto& v : fleet) v.heard(all[who], said, fleet[who].doubt(at), at);
+  };
+  for (std::size_t who : {0u, 1u, 2u}) met(who, 1000);
+  auto free = [&](double now, const std::vector<std::string>& alive) {
+    std::vector<std::size_t> who;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+      if (fleet[i].held(ten, alive, now).empty()) who.push_back(i);
+    return who;
+  };
+  EXPECT_TRUE(free(1900, all).empty());
+  auto first = free(2001, all);
+  ASSERT_EQ(first.size(), 1u);
+  EXPECT_LT(first[0], 3u);  // one that met it
+  // It fails again: nobody for another second, and then another that met it.
+  met(first[0], 2100);
+  EXPECT_TRUE(free(3000, all).empty());
+  auto second = free(3101, all);
+  ASSERT_EQ(second.size(), 1u);
+  EXPECT_NE(second[0], first[0]);
+  // That one is dead: the next, by those that see it so.
+  auto rest = all;
+  std::erase(rest, all[second[0]]);
+  auto next = free(3101, rest);
+  EXPECT_EQ(next.size(), 2u);  // itself still believes it
+  // Or it has no visit to try it with: one more each second.
+  EXPECT_EQ(free(4101, all).size(), 2u);
+  // Served: all may.
+  fleet[first[0]].served(3, 3200);
+  auto said = fleet[first[0]].sayings(3200);
+  for (auto& v : fleet) v.heard(all[first[0]], said, 0, 3200);
+  EXPECT_EQ(free(3201, all).size(), 5u);
+}
+
+// Any looks, in any order, each any number of times: what is held is the same, within its part, and rests on
+// two origins with looks that have not lapsed.
+TEST(FleetVerdicts, OrderAndRepetitionChangeNothing) {
+  struct Sent {
+    std::string from;
+    double at;
+    std::vector<Saying> sayings;
+  };
+  for (unsigned seed = 0; seed < 20000; ++seed) {
+    std::minstd_rand rng(seed + 1);
+    std::vector<Sent> sent;
+    for (int k = 0; k < 12; ++k) {
+      Sent s{.from = all[1 + rng() % 4], .at = static_cast<double>(rng() % 15000), .sayings = {}};
+      for (std::uint32_t server = 1; server <= 4; ++server)
+        if (rng() % 2) s.sayings.push_back({server, rng() % 3 > 0, static_cast<double>(rng() % 2000), 2000});
+      sent.push_back(s);
+    }
+    Verdicts one("a"), two("a");
+    for (const auto& s : sent) one.heard(s.from, s.sayings, 0.1, s.at);
+    auto again = sent;
+    again.insert(again.end(), sent.begin(), sent.end());
+    std::shuffle(again.begin(), again.end(), rng);
+    for (const auto& s : again) two.heard(s.from, s.sayings, 0.1, s.at);
+    double now = 15000;
+    auto held = one.held(ten, all, now);
+    ASSERT_EQ(held, two.held(ten, all, now)) << seed;
+    ASSERT_LE(held.size(), 3u);
+    for (auto server : held) {
+      std::vector<std::string> voices;
+      for (const auto& s : sent)
+        for (const auto& x : s.sayings)
+          if (x.server == server && x.bad && s.at - x.age >= now - Verdicts::hold_ms)
+            voices.push_back(s.from);
+      std::sort(voices.begin(), voices.end());
+      voices.erase(std::unique(voices.begin(), voices.end()), voices.end());
+      ASSERT_GE(voices.size(), 2u) << seed;
+    }
+    ASSERT_TRUE(one.held(ten, all, 15001 + Verdicts::hold_ms).empty());
+  }
+}
+
+}  // namespace
+}  // namespace meadow::fleet
--- a/tests/rehearsal_fleet_test.cpp
+++ b/tests/rehearsal_fleet_test.cpp
@@ -165,6 +165,69 @@
   EXPECT_GT(d.admitted(8, 10), 0.85 * limit);
 }
 
+// Twelve visits a second for each of eight servers; one swallows all for four seconds. Each balancer alone
+// lost one or two there, again after each bench. Once it answers it is used again.
+TEST(FleetDay, AServerThatSwallowsAllIsLeftByAllAndTriedByOne) {
+  for (bool verdicts : {true, false}) {
+    std::vector<settings::Problem> problems;
+    auto e = Experiment::read(settings::read_text(R"(
+seconds = 10
+[[tiers]]
+servers = 8
+balancers = 8
+zones = ["a"]
+cores = 4
+warm_ms = 0
+[[path_prefixes]]
+name = "view"
+repeat = "read-like"
+work_ms = 10
+client_timeout_ms = 1500
+[traffic]
+rate = 100
+[clients]
+fresh_connections = true
+[[faults]]
+what = "silent"
+which = ["3"]
+at = 3
+for = 4
+[[letters]]
+what = "lose"
+share = 0.1
+[fleet]
+verdicts = true
+)",
+                                                  "test"),
+                              "test", problems);
+    for (const auto& p : problems) ADD_FAILURE() << settings::worded("test", p);
+    PlayOptions o;
+    o.folder = (std::filesystem::temp_directory_path() / ("meadowgauge-verdict-" + std::to_string(getpid())))
+                   .string();
+    BuildSpec build{
+        .name = "tested", .program = MEADOWGAUGE_PROGRAM, .args = {}, .set = {}, .verdicts = verdicts};
+    auto p = play(e, build, 1, o);
+    std::filesystem::remove_all(o.folder);
+    for (const auto& b : judge(p.ledger, p.terms).breaches)
+      ADD_FAILURE() << name_of(b.rule) << ": " << b.what;
+    int swallowed = 0, after = 0;
+    for (const auto& r : p.ledger.reached) {
+      if (r.server != 3) continue;
+      double at = r.first_byte - p.begin;
+      swallowed += at > 3000 && at < 7000 && r.answered == not_yet;
+      after += at > 8500 && r.answered != not_yet;
+    }
+    std::printf("[ swallowed ] %d with verdicts %s, %d answered there after\n", swallowed,
+                verdicts ? "on" : "off", after);
+    if (verdicts) {
+      EXPECT_LE(swallowed, 11);
+      EXPECT_GT(after, 3);
+    } else {
+      EXPECT_GT(swallowed, 11);
+    }
+  }
+}
+
 TEST(LetterFaults, AreTheSameForASeedAndKeepToTheirWay) {
   std::vector<LetterFault> faults{
       {.what = LetterFault::What::cut, .from = {0}, .to = {1}, .both = false, .at_ms = 100, .for_ms = 100},
