--- a/src/fleet/verdicts.cpp
+++ b/src/fleet/verdicts.cpp
@@ -118,7 +118,8 @@
     return a.looked != b.looked ? a.looked < b.looked : a.rank < b.rank;
   });
   for (std::size_t i = 0; i < turns.size(); ++i)
-    c.my_turn = c.my_turn || (turns[i].mine && now - c.newest_bad >= trial_ms * static_cast<double>(i + 1));
+    c.my_turn =
+        c.my_turn || (turns[i].mine && now - c.newest_bad >= trial_ms * static_cast<double>(2 * i + 1));
   for (const auto& [name, o] : origins_) {
     auto it = o.says.find(server);
     if (it == o.says.end() || it->second.bad || it->second.looked <= since) continue;
