--- a/src/fleet/verdicts.cpp
+++ b/src/fleet/verdicts.cpp
@@ -49,20 +49,26 @@
   return all > 0 ? bad / all : 0;
 }
 
+// Few, however many servers and origins there are: only these are looked at one by one.
+std::set<std::uint32_t> Verdicts::in_question(double now) const {
+  std::set<std::uint32_t> all;
+  for (const auto& [name, o] : origins_)
+    for (const auto& [server, s] : o.says)
+      if (s.bad && now - s.looked <= hold_ms) all.insert(server);
+  return all;
+}
+
 std::vector<membership::Saying> Verdicts::sayings(double now) const {
   std::vector<membership::Saying> all;
   auto it = origins_.find(me_);
   if (it == origins_.end()) return all;
-  auto in_question = [&](std::uint32_t server) {
-    return std::any_of(origins_.begin(), origins_.end(), [&](const auto& o) {
-      auto s = o.second.says.find(server);
-      return s != o.second.says.end() && s->second.bad && now - s->second.looked <= hold_ms;
-    });
-  };
-  for (const auto& [server, s] : it->second.says)
-    if (now - s.looked <= hold_ms && (s.bad || in_question(server)))
-      all.push_back(
-          {.server = server, .bad = s.bad, .age = now - s.looked, .since = s.bad ? now - s.since : 0});
+  for (auto server : in_question(now)) {
+    auto mine = it->second.says.find(server);
+    if (mine == it->second.says.end() || now - mine->second.looked > hold_ms) continue;
+    const auto& s = mine->second;
+    all.push_back(
+        {.server = server, .bad = s.bad, .age = now - s.looked, .since = s.bad ? now - s.since : 0});
+  }
   std::sort(all.begin(), all.end(), [](const auto& a, const auto& b) {
     return a.bad != b.bad ? a.bad : a.age != b.age ? a.age < b.age : a.server < b.server;
   });
@@ -133,7 +139,8 @@
 std::vector<std::uint32_t> Verdicts::held(const std::vector<std::uint32_t>& listed,
                                           const std::vector<std::string>& alive, double now) const {
   std::vector<Case> sick;
-  for (auto server : listed) {
+  for (auto server : in_question(now)) {
+    if (std::find(listed.begin(), listed.end(), server) == listed.end()) continue;
     auto c = judge(server, alive, now);
     if (c.bad >= voices && c.bad >= 2 * c.good && !c.mine_good && !c.healed) sick.push_back(std::move(c));
   }
--- a/src/fleet/verdicts.hpp
+++ b/src/fleet/verdicts.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,7 @@
     double newest_bad = 0;
     bool mine_good = false, healed = false, my_turn = false;
   };
+  [[nodiscard]] std::set<std::uint32_t> in_question(double now) const;
   [[nodiscard]] Case judge(std::uint32_t server, const std::vector<std::string>& alive, double now) const;
 
   std::string me_;
--- a/tests/rehearsal_fleet_test.cpp
+++ b/tests/rehearsal_fleet_test.cpp
@@ -131,6 +131,17 @@
   EXPECT_GT(d.admitted(7.5, 9), 0.85 * limit);
 }
 
+// It gets a turn for 80 ms in each 200: what it reads late, answers late and lets through late.
+TEST(FleetDay, OneHasASlowLoop) {
+  std::string text = all_in_a + then(4, "\"1\", \"1\"");
+  for (int k = 0; k < 20; ++k)
+    text += "[[faults]]\nwhat = \"freeze_balancer\"\nat = " + std::to_string(2 + 0.2 * k) +
+            "\nfor = 0.12\nwhich = [\"0\"]\n";
+  auto d = played(9, text);
+  EXPECT_GT(d.admitted(4.5, 6, {1, 2, 3, 4, 5}), 0.7 * 5 * part);
+  EXPECT_GT(d.admitted(8, 9), 0.85 * limit);
+}
+
 TEST(FleetDay, AllAreStartedAgainInStep) {
   std::string text = all_in_a + then(3, "\"1\", \"1\"");
   for (int b = 0; b < 6; ++b)
