Nothing of an answered or departed visit starts later; watches, last moments mended

Now Balancer::call_off, at each final answer and departure, ends what no server has whole as never sent (moot); a fetch commanded earlier in the same turn does not start either. - A client's end is told once by an edge-triggered event; with the answer before still on its way it was not kept for the visit behind it. - Command::cancel put an ending down whether or not the fetch had one; the module ignored the second by its own guard (refuted as a fault), and now there is one. - A dial that came up as the time of who waited was over sent the visit and gave it up at once: a mutating one errored though it need not have run. - Waiting fetches beyond the eight dials at a time had no dial of their own and ended as unreachable. - An answer of unknown length that never ended held its client ten seconds, past its time. - One turn tells of 256 connections: beyond them a connection's time was up before its visit was read, and an answer's before it was taken. - The wait before discovery is asked again grew to 2.5 s, over any drain's grace; bytes without a line kept a watch up; one with empty lines and no news was never asked anew; a torn line waited 1.5 s; a list in several indented lines was unreadable; a line beyond 2 MB was dropped unseen. - SIGHUP before the signals were taken up ended the process. With client timeouts under 0.4 s a planned end stopped accepting while connections still came; what it gave up was answered in the turn in which the process ended.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -40,12 +40,17 @@
 }
 
 int serve(const Given& given) {
+  Signals::hold();
   std::string name = variable("GW_NAME").value_or("-");
   if (!given.config.empty()) name = read(given, {}).name;
   Log log(std::cerr, given.level, given.form, name);
   auto say = log.say();
   auto setup = read(given, say);
   setup.leave_ms = given.leave_ms;
+  if (Signals::end_waits()) {
+    say(routing::Level::info, "ending: it has not served yet");
+    return 0;
+  }
   rlimit most{};
   if (getrlimit(RLIMIT_NOFILE, &most) == 0 && most.rlim_cur != RLIM_INFINITY)
     setup.descriptors = std::min<std::size_t>(setup.descriptors, most.rlim_cur);
--- a/src/program/signals.hpp
+++ b/src/program/signals.hpp
@@ -13,6 +13,10 @@
   // Blocks the signals for this process; `ended` is called for an end, `reread` for SIGHUP.
   Signals(transport::Loop& loop, std::function<void()> ended, std::function<void()> reread);
   ~Signals();
+  // From here on none of them ends the process by itself: what comes before there is a Signals waits for it.
+  static void hold();
+  // An end was asked for meanwhile.
+  static bool end_waits();
   Signals(const Signals&) = delete;
   Signals& operator=(const Signals&) = delete;
 
--- a/src/protocol/discovery.hpp
+++ b/src/protocol/discovery.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "protocol/json.hpp"
@@ -45,13 +46,40 @@
       held_.clear();
       if (whole.ends_with('\r')) whole.pop_back();
       if (!dropping_) line(std::string_view(whole));
+      lost_ = lost_ || dropping_;
       dropping_ = false;
     }
   }
+  // A line that was too long has been dropped since this was last asked.
+  bool take_lost() { return std::exchange(lost_, false); }
 
  private:
   std::string held_;
-  bool dropping_ = false;
+  bool dropping_ = false, lost_ = false;
+};
+
+// Whether JSON that comes in pieces has ended, going by its brackets.
+class Nesting {
+ public:
+  void feed(std::string_view text) {
+    for (char c : text) {
+      if (text_) {
+        text_ = escaped_ || c != '"';
+        escaped_ = !escaped_ && c == '\\';
+      } else if (c == '"') {
+        text_ = true;
+      } else if (c == '{' || c == '[') {
+        ++depth_;
+      } else if (c == '}' || c == ']') {
+        --depth_;
+      }
+    }
+  }
+  [[nodiscard]] bool open() const { return text_ || depth_ > 0; }
+
+ private:
+  int depth_ = 0;
+  bool text_ = false, escaped_ = false;
 };
 
 }  // namespace meadow::protocol
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -24,8 +24,13 @@
 constexpr std::size_t door_part = 20;  // more where there is a door for operators: its callers, and files
 constexpr double sweep_every_ms = 200;
 constexpr double probe_limit_ms = 1000;
-// After a planned end began, and the longest client timeout: all is over before the process is killed.
+// After a planned end began, and the longest client timeout: all is over before the process is killed, which
+// is 700 ms behind it (the operators' protocol, as the next).
 constexpr double over_after_ms = 550, over_most_ms = 3000;
+// New connections go on coming for 400 ms, however short client timeouts are.
+constexpr double still_come_ms = 450;
+// Before the end: what has no answer yet gets one then, so that there is time to take it.
+constexpr double last_words_ms = 150;
 // Between an answer's last byte written here and taken at the client.
 constexpr double own_delay_ms = 2;
 constexpr std::uint32_t most_budget_ms = 3600000;
@@ -116,7 +121,11 @@
                  say_, [this] { return clients_.shed(Clients::Need::now); }),
       clients_(loop, pool_, due_, setup.listen, now_, part(descriptors_, client_part),
                part(descriptors_, beyond_part), tally_, {.shared = setup.shared, .later = setup.later}),
-      discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_),
+      discovery_(loop, pool_, due_, now_, setup.discovery, setup.known.seq, setup.seed, say_,
+                 // Where the list has to be asked for, calls wear it out, and nothing binds unasked.
+                 word(setup.settings, "discovery") == "subscribe"
+                     ? std::optional<double>()
+                     : number(setup.settings, "rules.stop_sending_within_ms", 250, say_)),
       prefixes_(names_of(setup.settings, "path_prefixes")),
       tenants_(names_of(setup.settings, "tenants")),
       zones_(words(word(setup.settings, "zones"))),
@@ -134,6 +143,8 @@
                                std::string("path_prefixes.").append(std::to_string(i)) + ".client_timeout_ms",
                                10000, say_));
     longest_timeout_ = std::max(longest_timeout_, timeouts_.back());
+    streamed_.push_back(word(setup.settings, std::string("path_prefixes.").append(std::to_string(i)) +
+                                                 ".streamed") == "true");
     repeats_.emplace_back(
         word(setup.settings, std::string("path_prefixes.").append(std::to_string(i)) + ".repeat"));
   }
@@ -195,17 +206,26 @@
   for (auto& c : std::exchange(commands_, {})) {
     switch (c.kind) {
       case Command::fetch:
-        upstreams_.start(fetch_id(c.job, c.number), c.be, *hands_.at(c.job).visit, c.value,
-                         hands_.at(c.job).budget);
+        // Its client has left, or its answer has come, behind this command in the same turn.
+        if (!visits_.unanswered(c.job))
+          upstreams_.endings().push_back({.fetch = fetch_id(c.job, c.number),
+                                          .be = c.be,
+                                          .status = Status::moot,
+                                          .answer = {},
+                                          .sent = now_});
+        else
+          upstreams_.start(fetch_id(c.job, c.number), c.be, *hands_.at(c.job).visit, c.value,
+                           hands_.at(c.job).budget);
         break;
       case Command::probe:
         upstreams_.probe(probe_bit | static_cast<FetchId>(c.be), c.be,
                          reports_ ? names::upstream_load : names::upstream_health, probe_limit_ms);
         break;
       case Command::cancel:
-        upstreams_.abandon(fetch_id(c.job, c.number));
-        upstreams_.endings().push_back(
-            {.fetch = fetch_id(c.job, c.number), .be = -1, .status = Status::cancelled, .answer = {}});
+        // A fetch has one ending: one that has just timed out, broken or been called off has its own.
+        if (upstreams_.abandon(fetch_id(c.job, c.number)))
+          upstreams_.endings().push_back(
+              {.fetch = fetch_id(c.job, c.number), .be = -1, .status = Status::cancelled, .answer = {}});
         break;
       case Command::pass_on:
         clients_.pass_on(c.client, *c.answer);
@@ -255,7 +275,8 @@
   auto fetch = fetch_id(job, hand.fetch);
   if (hand.coming && hand.visit->whole()) {
     hand.coming = false;
-    upstreams_.limit(fetch, visits_.whole(job, now_ + hand.budget - own_delay_ms, now_));
+    hand.due = due_for(hand.budget);
+    upstreams_.limit(fetch, visits_.whole(job, hand.due, now_));
   }
   upstreams_.more(fetch);
   clients_.room(client);
@@ -288,7 +309,7 @@
   Visit v{.prefix = prefix,
           .tenant = place_in(tenants_, m.find(names::tenant)),
           .arrived = now_,
-          .due = now_ + (coming ? most_coming_ms : budget - own_delay_ms),
+          .due = coming ? now_ + most_coming_ms : due_for(budget),
           .repeat = m.find(names::again) == "1",
           .work = info.work_ms,
           .key = info.key,
@@ -299,13 +320,23 @@
       return clients_.answer(c.client, 429, come_back(wait), "");
   auto job = next_job_++;
   open_.insert(m.find(names::id));
-  hands_.emplace(job,
-                 Hand{.client = c.client, .visit = std::move(c.message), .budget = budget, .coming = coming});
+  hands_.emplace(job, Hand{.client = c.client,
+                           .visit = std::move(c.message),
+                           .budget = budget,
+                           .due = v.due,
+                           .prefix = prefix,
+                           .coming = coming});
   jobs_[c.client] = job;
   visits_.arrived(job, v, now_);
   if (gate_ && bounced_ == job) gate_->give_back(v.tenant, prefix);
 }
 
+// When the final answer has to be out. As the process ends, before it does: the module and the upstream are
+// to know how little time is left, where they were told of more and the visit was cut off at the end.
+double Balancer::due_for(double budget) const {
+  return std::min(now_ + budget - own_delay_ms, phase_ == Phase::serving ? DueTimes::none : give_up_at_);
+}
+
 // Nothing is guessed at: what one reader takes for a visit another might take for a different one, and a
 // default in place of a budget that can't be read served clients that had asked for nothing of the kind.
 int Balancer::wrong_with(const Message& m, std::size_t prefix) const {
@@ -352,6 +383,7 @@
                                }),
          {{"visit", static_cast<double>(job)}});
   visits_.left(job, now_);
+  call_off(job);
   // Whatever the module calls off: a body that nobody sends or takes any more would stay on its way for good.
   if (auto hand = hands_.find(job);
       hand != hands_.end() && hand->second.fetch >= 0 && (hand->second.flowing || hand->second.coming))
@@ -373,8 +405,10 @@
   int number = static_cast<int>(e.fetch & ((1 << fetch_bits) - 1));
   ClientId client = 0;
   if (!client_of(job, client) || !visits_.unanswered(job)) return cancel(job, number);
-  hands_.at(job).flowing = true;
-  hands_.at(job).fetch = number;
+  auto& hand = hands_.at(job);
+  hand.flowing = true;
+  hand.fetch = number;
+  if (!streamed_[static_cast<std::size_t>(hand.prefix)]) upstreams_.whole_by(e.fetch, hand.due);
   visits_.begun(job, number, now_);
   commands_.push_back({.kind = Command::begin, .job = job, .client = client, .answer = std::move(e.answer)});
 }
@@ -523,11 +557,17 @@
 
 ClientId Balancer::answering(Job job) {
   const auto& hand = hands_.at(job);
+  call_off(job);
   jobs_.erase(hand.client);
   open_.erase(hand.visit->find(names::id));
   return hand.client;
 }
 
+// Nothing of a visit that has its answer, or whose client has left, starts afterwards, cancels or no cancels.
+void Balancer::call_off(Job job) {
+  for (int number = 0; number < most_fetches; ++number) upstreams_.call_off(fetch_id(job, number));
+}
+
 void Balancer::send(Job job, int number, int be, double limit) {
   hands_.at(job).fetch = number;
   commands_.push_back({.kind = Command::fetch, .job = job, .number = number, .be = be, .value = limit});
@@ -651,8 +691,10 @@
   phase_ = Phase::leaving;
   // Clients go on using what they have open, and the front may have nobody else for them: to close early
   // would turn away visits that there is time to serve.
-  phase_until_ = now_ + leave_ms_.value_or(std::min(longest_timeout_, over_most_ms));
-  over_at_ = now_ + std::min(longest_timeout_, over_most_ms) + over_after_ms;
+  double longest = std::min(longest_timeout_, over_most_ms);
+  phase_until_ = now_ + leave_ms_.value_or(std::max(longest, still_come_ms));
+  over_at_ = now_ + longest + over_after_ms;
+  give_up_at_ = over_at_ - last_words_ms;
 }
 
 void Balancer::listen() { clients_.listen(); }
@@ -681,16 +723,21 @@
   if (given_over_ && clients_.size() == 0) phase_ = Phase::over;
   if (phase_ == Phase::leaving && now_ >= phase_until_) {
     phase_ = Phase::winding_up;
-    phase_until_ = over_at_;
+    phase_until_ = give_up_at_;
     clients_.stop_accepting();
     clients_.wind_up();
   }
   if (phase_ != Phase::winding_up) return;
-  if (now_ >= over_at_ && !jobs_.empty()) {
-    say_(Level::warning, std::string("ending: visits given up: ").append(std::to_string(jobs_.size())));
+  // Answered in the very turn in which the process ended, an answer was lost wherever the socket did not take
+  // it at once, or more had come behind the visit: the end resets such a connection.
+  if (now_ >= give_up_at_) {
+    phase_until_ = over_at_;
+    if (!jobs_.empty())
+      say_(Level::warning, std::string("ending: visits given up: ").append(std::to_string(jobs_.size())));
     for (auto [client, job] : std::exchange(jobs_, {})) {
       open_.erase(hands_.at(job).visit->find(names::id));
       visits_.left(job, now_);
+      call_off(job);
       clients_.answer(client, 500, "", "");
     }
   }
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -95,7 +95,8 @@
   struct Hand {  // a visit's client, and its bytes as long as a fetch may need them
     ClientId client = 0;
     Flow visit;
-    double budget = 0;
+    double budget = 0, due = 0;
+    int prefix = 0;
     int fetch = -1;        // the latest
     bool coming = false;   // the rest of its body
     bool flowing = false;  // its answer, to its client
@@ -129,8 +130,10 @@
   [[nodiscard]] int wrong_with(const protocol::Message& m, std::size_t prefix) const;
   void own(const Call& c);
   void gone(ClientId client);
+  [[nodiscard]] double due_for(double budget) const;
   [[nodiscard]] bool client_of(Job job, ClientId& client) const;
   ClientId answering(Job job);
+  void call_off(Job job);
   void ended(Ending& e);
   void told(protocol::Listing news);
   void list(ListKind kind, const protocol::Listing& listing);
@@ -154,6 +157,7 @@
 
   std::vector<std::string> repeats_;  // of the path prefixes, in the settings' words
   std::vector<std::string> prefixes_, tenants_, zones_, kinds_;
+  std::vector<bool> streamed_;
   std::vector<double> timeouts_;
   std::string columns_text_;
   std::vector<std::string_view> columns_;
@@ -177,7 +181,8 @@
   Gate* gate_ = nullptr;
   Job bounced_ = 0;  // the latest
   Phase phase_ = Phase::serving;
-  double phase_until_ = transport::DueTimes::none, over_at_ = transport::DueTimes::none;
+  double phase_until_ = transport::DueTimes::none, over_at_ = transport::DueTimes::none,
+         give_up_at_ = transport::DueTimes::none;
 };
 
 }  // namespace meadow::routing
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -52,6 +52,7 @@
   double head_due = 0, paused_at = 0;  // not read since then, as what is held of its body has to go first
   std::size_t body = 0;                // of the request, as much as has come
   bool keep = true, head_only = false, gone = false, promised = false;
+  bool hung = false;     // its end, or that of its sending, was told once: no later event need tell it again
   bool proven = false;   // has sent a whole visit
   bool counted = false;  // a request in hand that the figures know
   bool flying = false;   // and that has come whole
@@ -124,18 +125,19 @@
 }
 
 void Clients::ready(Conn& c, std::uint32_t events) {
+  c.hung = c.hung || events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR);
   switch (c.state) {
     case Conn::State::reading:
       read(c);
       if (c.state != Conn::State::in_hand) break;
-      [[fallthrough]];  // the end may have come with the request
+      [[fallthrough]];  // the rest of its body may be here too
     case Conn::State::in_hand:
       if (c.coming) {
         read_body(c);
         if (c.coming) break;
       }
       // Nothing more is read while a request is in hand, so an end shows only here.
-      if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) gone(c);
+      if (c.hung) gone(c);
       break;
     case Conn::State::answering:
       // Reset; an end of sending alone may be of one that still listens.
@@ -265,7 +267,10 @@
   c.flying = !c.coming;  // taken with its last byte
   tally_.in_flight += c.flying;
   calls_.push_back({.client = c.id, .message = c.request});
-  if (!c.coming) c.request.reset();
+  if (c.coming) return;
+  c.request.reset();
+  // Its end may have been told before, with the answer before it still on its way or bytes of it unread.
+  if (c.hung) gone(c);
 }
 
 void Clients::meant_for(ClientId id, int prefix) {
@@ -420,6 +425,13 @@
     return sweep();
   }
   auto& c = *conns_.at(id);
+  bool reading = c.state == Conn::State::reading, coming = c.state == Conn::State::in_hand && c.coming;
+  // What came in the same moment counts: a turn tells of so many connections and no more, and a visit whose
+  // last byte is here is taken.
+  if (reading || coming) {
+    reading ? read(c) : read_body(c);
+    if (c.due > now_) return;
+  }
   if (c.state == Conn::State::reading && c.request && c.request->started()) return refuse(c, 408);
   if (c.state == Conn::State::in_hand && c.coming) {
     gone(c);
--- a/src/routing/discovery_client.hpp
+++ b/src/routing/discovery_client.hpp
@@ -18,8 +18,11 @@
  public:
   static constexpr std::uint8_t due_kind = 3;
 
+  // `binds_ms`: so long after the agent knows of a drain it binds here, heard or not; none where nothing
+  // binds before it was asked for.
   DiscoveryClient(transport::Loop& loop, transport::Pool& pool, transport::DueTimes& due, const double& now,
-                  std::optional<transport::Address> agent, std::int64_t after, std::uint64_t seed, Say say);
+                  std::optional<transport::Address> agent, std::int64_t after, std::uint64_t seed, Say say,
+                  std::optional<double> binds_ms = {});
   ~DiscoveryClient();
   DiscoveryClient(const DiscoveryClient&) = delete;
   DiscoveryClient& operator=(const DiscoveryClient&) = delete;
@@ -37,11 +40,15 @@
  private:
   void ready(std::uint32_t events) override;
   bool ask();
-  void heard(std::string_view line);
+  void line(std::string_view line);
+  void heard(std::string_view text);
+  void unreadable(const std::string& why);
   void listed();
   void drop();
   void lost(std::string_view why);
   void hear_by(double ms);
+  double spread(double ms);
+  [[nodiscard]] double soon() const;
   double chance();
 
   transport::Loop& loop_;
@@ -58,8 +65,13 @@
   bool missed_ = false;  // a line of this watch could not be read
   bool whole_ = false;   // the whole list is wanted before the watch
   std::string list_;     // as much of it as has come
+  std::string part_;     // of a list that is told in several lines
+  protocol::Nesting nesting_;
+  int misses_ = 0;       // in a row, of what follows the same version
+  double renew_at_ = 0;  // this watch, unless it tells a change before
   protocol::Message answer_;
   protocol::Lines lines_;
+  std::optional<double> binds_ms_;
   int failures_ = 0;
   double due_at_ = transport::DueTimes::none;  // silence while connected, the next try otherwise
   std::vector<std::optional<protocol::Listing>> news_;
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -34,6 +34,9 @@
 constexpr double held_ms = 200;
 // An answer that flows ends when nothing more of it comes for this long, though there is room.
 constexpr double flow_ms = 10000;
+// One that is no larger than what is held whole is owed by the client timeout. While it still grows it may be
+// a large one that has just begun: it has so long from byte to byte, and so much beyond that time at most.
+constexpr double late_byte_ms = 200, late_most_ms = 400;
 }  // namespace
 
 struct Upstreams::Conn final : transport::Ready {
@@ -339,10 +342,24 @@
   auto it = fetches_.find(id);
   if (it == fetches_.end() || !it->second.conn || !it->second.conn->paused) return;
   it->second.conn->paused = false;
-  due_.set(due_key(fetch_due, id), it->second.due, now_ + flow_ms);
+  due_.set(due_key(fetch_due, id), it->second.due, flow_due(*it->second.conn, it->second));
   read(*it->second.conn);
 }
 
+// A spoilt answer of unknown length that never ended held its client for ten seconds, long past its time.
+double Upstreams::flow_due(const Conn& c, const Fetch& f) const {
+  if (c.paused) return DueTimes::none;
+  if (c.answer->known_large() || f.came > protocol::most_body) return now_ + flow_ms;
+  return std::min(now_ + flow_ms, std::clamp(now_ + late_byte_ms, f.whole_by, f.whole_by + late_most_ms));
+}
+
+void Upstreams::whole_by(FetchId id, double at) {
+  auto it = fetches_.find(id);
+  if (it == fetches_.end() || !it->second.conn || !it->second.begun) return;
+  it->second.whole_by = at;
+  due_.set(due_key(fetch_due, id), it->second.due, flow_due(*it->second.conn, it->second));
+}
+
 void Upstreams::let_flow() {
   std::vector<Conn*> all;
   for (auto& [id, c] : conns_)
@@ -388,7 +405,8 @@
   if (c.stream.dial_error() == 0) {
     server(be).heard = now_;
     c.state = Conn::State::busy;
-    return free(c);
+    free(c);
+    return dial_for_waiting(be);  // more may wait than were dialled for at a time
   }
   c.state = Conn::State::busy;  // no longer counted as dialling
   close(c);
@@ -424,6 +442,7 @@
   while (!c.stream.bytes().empty()) {
     auto n = c.answer->feed(c.stream.bytes());
     came = came || n > 0;
+    f.came += n;
     c.stream.consume(n);
     bool whole = c.answer->whole();
     if (c.answer->fault() != protocol::Fault::none ||
@@ -459,7 +478,7 @@
     }
   }
   if (f.begun && came) {
-    due_.set(due_key(fetch_due, id), f.due, c.paused ? DueTimes::none : now_ + flow_ms);
+    due_.set(due_key(fetch_due, id), f.due, flow_due(c, f));
     endings_.push_back({.what = Ending::more, .fetch = id, .be = f.be});
   }
   return !c.paused && !c.answer->starved();
@@ -521,10 +540,12 @@
     close(c);
     return dial_for_waiting(be);
   }
-  if (!s.waiting.empty()) {
-    auto id = s.waiting.front();
+  while (!s.waiting.empty()) {
+    auto it = fetches_.find(s.waiting.front());
     s.waiting.pop_front();
-    return write(c, id);
+    if (it->second.limit_at > now_) return write(c, it->first);
+    // The time it may take is over in this same turn: it would be given up right behind its last byte.
+    end(it, Status::unreachable);
   }
   if (!s.wanted) return close(c);
   c.idle_since = now_;
@@ -558,21 +579,30 @@
   fetches_.erase(it);
 }
 
-void Upstreams::stop_waiting(FetchId id, int be) {
-  auto& waiting = server(be).waiting;
-  std::erase(waiting, id);
+bool Upstreams::abandon(FetchId id) {
+  auto it = fetches_.find(id);
+  if (it == fetches_.end()) return false;
+  let_go(it->second, id);
+  due_.set(due_key(fetch_due, id), it->second.due, DueTimes::none);
+  fetches_.erase(it);
+  return true;
 }
 
-void Upstreams::abandon(FetchId id) {
+// Where a site forbids cancels a departed client's visit went out all the same when its dial came up at last.
+// What no server has whole is no visit there, so that giving it up cancels nothing.
+void Upstreams::call_off(FetchId id) {
   auto it = fetches_.find(id);
-  if (it == fetches_.end()) return;
-  auto& f = it->second;
+  if (it == fetches_.end() || (it->second.conn && written(*it->second.conn))) return;
+  let_go(it->second, id);
+  end(it, Status::moot);
+}
+
+// Its connection, which is the only way to tell the other side, or its place among those that wait for one.
+void Upstreams::let_go(Fetch& f, FetchId id) {
   if (f.conn)
-    close(*f.conn);  // the only way to tell the other side
+    close(*f.conn);
   else
-    stop_waiting(id, f.be);
-  due_.set(due_key(fetch_due, id), f.due, DueTimes::none);
-  fetches_.erase(it);
+    std::erase(server(f.be).waiting, id);
 }
 
 void Upstreams::fell_due(transport::DueKey key) {
@@ -589,12 +619,16 @@
     return dial_for_waiting(be);
   }
   auto it = fetches_.find(number);
-  auto& f = it->second;
-  if (!f.conn) {
-    stop_waiting(number, f.be);
-    return end(it, Status::unreachable);
+  // An answer that came in the same moment counts: a turn tells of so many connections and no more.
+  if (auto* c = it->second.conn) {
+    read(*c);
+    it = fetches_.find(number);
+    if (it == fetches_.end() || it->second.due > now_) return;
   }
-  close(*f.conn);
+  auto& f = it->second;
+  bool out = f.conn != nullptr;
+  let_go(f, number);
+  if (!out) return end(it, Status::unreachable);
   suspect(server(f.be), f.sent);
   end(it, Status::timeout);
 }
--- a/src/routing/upstreams.hpp
+++ b/src/routing/upstreams.hpp
@@ -79,11 +79,16 @@
   void limit(FetchId id, double limit_ms);
   // What was held of the answer has been passed on.
   void room(FetchId id);
+  // An answer that flows is to be whole by then, unless it is larger than what is held whole.
+  void whole_by(FetchId id, double at);
   // Answers of unknown length that have begun long enough ago go out as they are. Called now and then.
   void let_flow();
   void probe(FetchId id, int be, std::string_view path, double limit_ms);
-  // No ending follows.
-  void abandon(FetchId id);
+  // No ending follows. False: it has ended before, and its one ending is on its way or was taken.
+  bool abandon(FetchId id);
+  // Its visit has its final answer, or its client has left: what is not whole at its server yet is given up
+  // and ends as never sent; what is whole goes on.
+  void call_off(FetchId id);
   void fell_due(transport::DueKey key);
   void close_idle();
   // So many connections from now on; the longest idle ones make way.
@@ -120,7 +125,9 @@
     bool flows = false, chunked = false;  // the visit's body
     bool all_out = true;                  // nothing of the visit is still to be written behind what is queued
     bool begun = false;                   // its answer flows
-    std::string path;                     // of a probe
+    std::size_t came = 0;                 // of that, as far as it has come
+    double whole_by = transport::DueTimes::none;
+    std::string path;  // of a probe
     double sent = 0, limit_at = 0, connect_by = 0;
     double due = transport::DueTimes::none;
     Conn* conn = nullptr;  // none while it waits for one
@@ -148,6 +155,7 @@
   bool flush(Conn& c);
   bool pump(Conn& c);
   [[nodiscard]] bool written(const Conn& c) const;
+  [[nodiscard]] double flow_due(const Conn& c, const Fetch& f) const;
   bool digest(Conn& c);
   void begin_answer(Conn& c, Fetch& f);
   void free(Conn& c);
@@ -156,7 +164,7 @@
   void forsake(int be);
   void close_idle(Server& s);
   void suspect(Server& s, double since);
-  void stop_waiting(FetchId id, int be);
+  void let_go(Fetch& f, FetchId id);
   void vacate(int be);
 
   transport::Loop& loop_;
--- a/tests/service.hpp
+++ b/tests/service.hpp
@@ -90,6 +90,8 @@
     }
     return !timed_out_;
   }
+  // The end that was met was a reset.
+  [[nodiscard]] bool was_reset() const { return reset_; }
   // Nothing has come, and nothing has ended.
   [[nodiscard]] bool quiet() const {
     pollfd p{.fd = fd_, .events = POLLIN, .revents = 0};
@@ -103,13 +105,14 @@
     if (timed_out_) return false;
     char bytes[65536];
     auto n = recv(fd_, bytes, sizeof bytes, 0);
+    reset_ = n < 0;
     if (n <= 0) return false;
     held_.append(bytes, static_cast<std::size_t>(n));
     return true;
   }
   int fd_ = -1;
   std::string held_;
-  bool timed_out_ = false;
+  bool timed_out_ = false, reset_ = false;
 };
 
 inline std::pair<int, std::string> status_and_body(const std::string& answer) {
@@ -286,6 +289,14 @@
     hang_up();
   }
   void hang_up() const { kill(pid_, SIGHUP); }
+  // Stands still until it goes on: what happens meanwhile meets it in one turn of its loop.
+  void stop() const {
+    kill(pid_, SIGSTOP);
+    int status = 0;
+    EXPECT_EQ(waitpid(pid_, &status, WUNTRACED), pid_);
+    EXPECT_TRUE(WIFSTOPPED(status));
+  }
+  void go() const { kill(pid_, SIGCONT); }
   int exit_status() {
     int status = 0;
     waitpid(std::exchange(pid_, -1), &status, 0);
