Crossings by chance over clients, servers, agent and signals; what discovery owes has its tests

Change: tests of the watch with the clock in hand (return of an agent, drops, life without news, indented lists, unreadable lines); a random test over 24 fixed seeds with three servers, prefixes of all three effects, stops, reloads, resets. A wait that a signal interrupts looks once more, so that a stopped program meets what has happened before the time that passed. A line that was missed is asked for when its wait is over, not a second wait later.

--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -78,10 +78,9 @@
 
 void DiscoveryClient::fell_due() {
   due_.set(due_key(due_kind, 0), due_at_, transport::DueTimes::none);
-  if (stream_)
-    lost(missed_ ? "a line could not be read" : "nothing heard for long");
-  else
-    connect();
+  if (stream_ && !missed_) return lost("nothing heard for long");
+  drop();  // what it missed has waited long enough
+  connect();
 }
 
 void DiscoveryClient::ready(std::uint32_t events) {
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -48,6 +48,8 @@
 void Loop::wait(double most_ms) {
   int ms = !more_.empty() ? 0 : static_cast<int>(std::ceil(std::min(std::max(most_ms, 0.0), 60000.0)));
   count_ = epoll_wait(epoll_.get(), events_.data(), at_once, ms);
+  // Stopped and let go on: what has happened meanwhile comes before the time that has passed.
+  if (count_ < 0 && errno == EINTR) count_ = epoll_wait(epoll_.get(), events_.data(), at_once, 0);
   if (count_ < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
 }
 
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -46,8 +46,8 @@
   Agent agent{loop};
   DiscoveryClient client;
 
-  explicit Watching(std::uint64_t seed = 7)
-      : client(loop, pool, due, now, agent.at.address(), 0, seed, Say()) {
+  explicit Watching(std::uint64_t seed = 7, std::optional<double> binds_ms = {})
+      : client(loop, pool, due, now, agent.at.address(), 0, seed, Say(), binds_ms) {
     client.connect();
     turn();
   }
@@ -80,6 +80,13 @@
     turn();
     return asked;
   }
+  // A chunk of the open watch.
+  void tell(const std::string& text) {
+    char size[32];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    agent.say(size + text + "\r\n");
+    turn();
+  }
   bool dialled() {
     bool full = false;
     auto fd = agent.at.accept(full);
@@ -146,6 +153,107 @@
   }
 }
 
+// Where lists are pushed, what the agent gets at its return binds at once: however long it has refused or
+// broken its watches, it is asked again well within a drain's grace. Where they are asked for it is spared.
+TEST(Discovery, AnAgentThatComesBackIsAskedWithinAQuarterOfTheGrace) {
+  for (double grace : {150.0, 400.0}) {
+    Watching w(7, grace), asked(7);
+    for (int i = 0; i < 12; ++i) {
+      for (auto* each : {&w, &asked}) {
+        each->go(each->due.next());
+        bool full = false;
+        each->agent.conn = each->agent.at.accept(full);
+        ASSERT_TRUE(each->agent.conn) << i;
+        each->agent.conn.close();
+        each->turn();
+      }
+      EXPECT_LE(w.due.next() - w.now, grace / 4 * 1.25 + 1e-6) << i;
+    }
+    EXPECT_GT(asked.due.next() - asked.now, 1000);
+  }
+}
+
+// Bytes that never end a line are no sign of life: they kept a watch up that told nothing.
+TEST(Discovery, AWatchFedDropByDropIsTakenUpAnew) {
+  Watching w(7, 400.0);
+  ASSERT_TRUE(w.watch(empty_list).starts_with("GET "));
+  double from = w.now;
+  bool again = false;
+  for (int i = 0; i < 20 && !again; ++i) {
+    w.tell("{");
+    w.go(w.now + 400);
+    again = w.dialled();
+  }
+  EXPECT_TRUE(again);
+  EXPECT_LE(w.now - from, 4000);
+}
+
+// Empty lines and no news for as long as a silent watch is given: asked again from the last version, where
+// what the agent has binds. With news it goes on.
+TEST(Discovery, AWatchThatLivesAndTellsNothingIsTakenUpAnew) {
+  Watching w(7, 400.0), asked(7);
+  for (auto* each : {&w, &asked}) {
+    ASSERT_TRUE(each->watch(empty_list).starts_with("GET "));
+    each->go(each->now + 2000);
+    each->tell("\n");
+    EXPECT_FALSE(each->dialled());
+    each->go(each->now + 2000);
+    each->tell("\n");
+  }
+  ASSERT_TRUE(w.watch(empty_list).starts_with("GET /api/targets?watch=1&after=5 "));
+  EXPECT_FALSE(asked.dialled());
+  for (int i = 6; i < 12; ++i) {
+    w.go(w.now + 2000);
+    w.tell(R"({"seq":)" + std::to_string(i) + R"(,"whole":false,"hosts":[]})" + "\n");
+    EXPECT_FALSE(w.dialled());
+  }
+}
+
+// Lists may come indented, cut anywhere; one that is cut short takes nothing of the next with it.
+TEST(Discovery, AListInSeveralLinesIsOneList) {
+  const std::string indented =
+      "{\n  \"seq\": 6,\n  \"whole\": false,\n  \"hosts\": [\n    {\n      \"host\":"
+      " \"}x{\",\n      \"dial\": \"127.0.0.1:1\",\n\"health\": \"leaving\"\n    }\n  ]\n}\n";
+  for (std::size_t cut = 1; cut < indented.size(); cut += 7) {
+    Watching w(7, 400.0);
+    w.watch(empty_list);
+    w.client.news().clear();
+    w.tell(indented.substr(0, cut));
+    w.tell(indented.substr(cut));
+    ASSERT_EQ(w.client.news().size(), 1u) << cut;
+    EXPECT_EQ(w.client.news()[0]->hosts.at(0).name, "}x{");
+  }
+  Watching w(7, 400.0);
+  w.watch(empty_list);
+  w.client.news().clear();
+  w.tell(indented.substr(0, 30));
+  w.tell("\n" + empty_list + "\n");
+  ASSERT_EQ(w.client.news().size(), 1u);
+  EXPECT_EQ(w.client.news()[0]->seq, 5);
+  w.go(w.now + 200);
+  EXPECT_TRUE(w.dialled());  // and what it told is asked for again
+}
+
+// A line that can't be read, is too long or ends in the middle may have told of a drain: asked for again at
+// once; the same again and again, each second or so.
+TEST(Discovery, AnUnreadableLineIsAskedForAgainBeforeADrainBinds) {
+  for (const std::string& line : {std::string("{\"seq\":6}\n"), std::string("{\"seq\":6"),
+                                  std::string(protocol::Lines::longest + 100, ' ') + "\n"}) {
+    Watching w(7, 400.0);
+    w.watch(empty_list);
+    for (std::size_t at = 0; at < line.size(); at += 60000) w.tell(line.substr(at, 60000));
+    if (line.size() < 20 && !line.ends_with('\n')) continue;  // no line yet: a silent watch
+    w.go(w.now + 130);
+    EXPECT_TRUE(w.dialled()) << line.substr(0, 20);
+  }
+  Watching w(7, 400.0);
+  int asked = 0;
+  for (double until = w.now + 6000; w.now < until; w.go(w.now + 50))
+    if (!w.watch("{\"seq\":6}").empty()) ++asked;
+  EXPECT_GE(asked, 4);
+  EXPECT_LE(asked, 8);
+}
+
 // --- Lists out of order --------------------------------------------------------------------------------
 
 using protocol::Host;
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -317,8 +317,6 @@
   EXPECT_EQ(answered, 400);
 }
 
-// --- The watch ---------------------------------------------------------------------------------------------
-
 // --- The process -------------------------------------------------------------------------------------------
 
 // The configuration comes through a pipe, so that the program is known to be reading it.
@@ -455,5 +453,243 @@
   EXPECT_LE(std::stoi(got.substr(at + 13)), 1450);
 }
 
+// --- All of them by chance ---------------------------------------------------------------------------------
+
+// Clients, servers, discovery and signals, one step after another drawn from a seed. What each of them got is
+// kept, and at the end nothing may be owed.
+class Crossings {
+ public:
+  explicit Crossings(std::uint32_t seed)
+      : rng_(seed),
+        s_({.upstreams = 3,
+            .settings =
+                R"(,"rules":{"stop_sending_within_ms":400.0},"limits":{"dial_timeout_ms":300.0},)"
+                R"("path_prefixes":[{"name":"pay","repeat":"at_most_once","client_timeout_ms":900.0},)"
+                R"({"name":"view","repeat":"idempotent","client_timeout_ms":900.0},)"
+                R"({"name":"set","repeat":"deduplicated","group":"all","key_ttl_ms":5000.0,)"
+                R"("client_timeout_ms":900.0}])",
+            .leave_ms = "0",
+            .cancelling = seed % 2 == 0}),
+        most_descriptors_(s_.descriptors()) {}
+
+  void play(int steps) {
+    for (int i = 0; i < steps; ++i) {
+      step();
+      serve();
+    }
+    if (stopped_) s_.go();
+    settle();
+  }
+
+  // Whoever stayed has one answer to each visit; then the servers that drain get nothing, and all goes back.
+  void settle() {
+    kind_ = true;
+    auto until = Clock::now() + ms(patience_ms);
+    auto waits = [&] {
+      return std::any_of(clients_.begin(), clients_.end(), [](const Client& c) { return !c.open.empty(); });
+    };
+    while (waits() && Clock::now() < until) serve();
+    EXPECT_FALSE(waits());
+    for (const auto& [id, v] : visits_) {
+      EXPECT_LE(v.answers, 1) << id;
+      if (!v.left && !v.cut) {
+        EXPECT_EQ(v.answers, 1) << id;
+      }
+      if (id.find(": pay") == id.npos) continue;
+      EXPECT_EQ(v.again, 0) << id << " was sent again though it may have run";
+      if (v.arrived > v.rejected) {
+        EXPECT_NE(v.status, 503) << id << " may have run";
+      }
+    }
+    clients_.clear();
+    health_ = {"leaving", "active", "active"};
+    ++seq_;
+    while (!watching() && Clock::now() < until) serve();
+    say_list(R"({"host":"mark)" + std::to_string(seq_) + R"(","health":"odd"})");
+    s_.logged("mark" + std::to_string(seq_) + ": unknown health");
+    auto before = arrived_[0];
+    for (int i = 0; i < 4; ++i) {
+      ask("view", 900);
+      while (waits() && Clock::now() < until) serve();
+    }
+    EXPECT_EQ(arrived_[0], before) << "sent to a server that drains";
+    clients_.clear();
+    ups_.clear();
+    for (int i = 0; i < 2; ++i) EXPECT_EQ(s_.ask("/-/ready"), 200);
+    EXPECT_LE(s_.descriptors(), most_descriptors_ + 3);
+    s_.terminate();
+    EXPECT_EQ(s_.exit_status(), 0);  // sanitizers speak up here
+  }
+
+ private:
+  struct Visit {
+    int answers = 0, status = 0, arrived = 0, rejected = 0, again = 0;
+    bool left = false, cut = false;
+  };
+  struct Client {
+    Peer peer;
+    std::vector<std::string> open;  // ids, in turn
+    bool half = false;
+  };
+  struct Up {
+    Peer peer;
+    int server;
+    std::string id;  // in hand
+  };
+
+  int any(int n) { return static_cast<int>(rng_() % static_cast<unsigned>(n)); }
+
+  void ask(const std::string& prefix, int budget, bool half = false) {
+    auto id = "X-Call-Id: " + prefix + std::to_string(++ids_);
+    auto text = (prefix == "view" ? "GET /view" : "POST /" + prefix) + " HTTP/1.1\r\nHost: b\r\n" + id +
+                "\r\nX-Budget-Ms: " + std::to_string(budget) +
+                (prefix == "set" ? "\r\nIdempotency-Key: k" : "");
+    text = prefix == "view" ? text + "\r\n\r\n" : sized(text, "the body");
+    auto& c = clients_.emplace_back(Client{.peer = s_.connect(), .open = {}});
+    c.half = half;
+    c.peer.say(half ? text.substr(0, text.size() - 5) : text);
+    if (half) return;
+    c.open.push_back(id);
+    visits_[id];
+  }
+
+  void leave(std::size_t i, int how) {
+    auto& c = clients_[i];
+    for (const auto& id : c.open) visits_[id].left = true;
+    if (how == 0) c.peer.close();
+    if (how == 1) c.peer.reset();
+    if (how == 2) c.peer.end_sending(), left_.push_back(std::move(c.peer));
+    clients_.erase(clients_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+
+  void step() {
+    constexpr const char* prefixes[] = {"pay", "view", "set"};
+    int what = any(24);
+    if (what < 9) return ask(prefixes[any(3)], 150 + any(700), any(12) == 0);
+    if (what < 13 && !clients_.empty())
+      return leave(static_cast<std::size_t>(any(static_cast<int>(clients_.size()))), any(3));
+    if (what < 16) {
+      health_[static_cast<std::size_t>(any(3))] = any(3) == 0 ? "leaving" : "active";
+      ++seq_;
+      return say_list();
+    }
+    if (what == 16 && watching()) agents_.back().reset();
+    if (what == 17 && watching()) agents_.back().close();
+    if (what == 18) s_.hang_up();
+    if (what == 19) {
+      stopped_ ? s_.go() : s_.stop();
+      stopped_ = !stopped_;
+    }
+    if (what == 20 && !ups_.empty())
+      ups_[static_cast<std::size_t>(any(static_cast<int>(ups_.size())))].peer.reset(), drop_dead();
+    if (what > 20) std::this_thread::sleep_for(ms(any(40)));  // time-outs fall due, some of them
+  }
+
+  void answer(Up& up) {
+    auto id = std::exchange(up.id, {});
+    int how = kind_ ? 0 : any(12);
+    if (how == 1) {
+      ++visits_[id].rejected;
+      up.peer.say(rejected);
+    } else if (how == 2) {
+      up.peer.say(sized("HTTP/1.1 500 Internal Server Error", ""));
+    } else if (how == 3) {
+      up.peer.reset();
+    } else if (how == 4) {
+      up.peer.say(ok.substr(0, ok.size() - 3));
+      up.peer.close();
+    } else if (how == 5) {
+      up.peer.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");  // and no end
+    } else if (how != 6) {                                                               // which hangs
+      up.peer.say(ok);
+    }
+  }
+
+  // All that has come, wherever it came.
+  void serve() {
+    std::this_thread::sleep_for(ms(1));
+    for (std::size_t n = 0; n < 3; ++n)
+      while (s_.upstreams[n].dialled())
+        ups_.push_back({.peer = s_.upstreams[n].open(), .server = static_cast<int>(n), .id = {}});
+    for (auto& up : ups_) {
+      while (up.peer.is_open() && !up.peer.quiet() && up.peer.some()) {
+      }
+      while (auto m = up.peer.whole()) {
+        up.id = id_of(*m);
+        auto& v = visits_[up.id];
+        v.again += v.arrived++ > v.rejected;
+        ++arrived_[up.server];
+        if (kind_ || any(3) > 0) answer(up);
+        if (!up.peer.is_open()) break;
+      }
+      if (up.peer.is_open() && !up.id.empty() && (kind_ || any(8) == 0)) answer(up);
+    }
+    drop_dead();
+    for (auto& c : clients_) {
+      bool ended = false;
+      while (!ended && c.peer.is_open() && !c.peer.quiet()) ended = !c.peer.some();
+      while (auto m = c.peer.whole()) {
+        if (c.open.empty()) break;
+        auto& v = visits_[c.open.front()];
+        ++v.answers;
+        v.status = status_of(*m);
+        c.open.erase(c.open.begin());
+      }
+      // An answer that had begun may be cut, as long as that shows.
+      if (ended)
+        for (const auto& id : std::exchange(c.open, {})) visits_[id].cut = true;
+    }
+    if (s_.discovery.dialled()) agents_.push_back(s_.discovery.open());
+    if (agents_.empty()) return;
+    auto& d = agents_.back();
+    while (d.is_open() && !d.quiet() && d.some()) {
+    }
+    while (auto m = d.whole()) {
+      watched_ = m->find("watch=1") != m->npos;
+      if (watched_) d.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      say_list();
+    }
+  }
+
+  [[nodiscard]] bool watching() const {
+    return watched_ && !agents_.empty() && agents_.back().is_open() && agents_.back().alive();
+  }
+  void say_list(const std::string& more = "") {
+    if (agents_.empty() || !agents_.back().is_open()) return;
+    std::vector<std::string> hosts;
+    for (int n = 0; n < 3; ++n)
+      hosts.push_back(
+          host(n, s_.upstreams[static_cast<std::size_t>(n)].address(), health_[static_cast<std::size_t>(n)]));
+    if (!more.empty()) hosts.push_back(more);
+    auto text = listing(seq_, true, hosts) + "\n";
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    agents_.back().say(watched_ ? size + text + "\r\n" : sized("HTTP/1.1 200 OK", text));
+  }
+  void drop_dead() {
+    std::erase_if(ups_, [](const Up& up) { return !up.peer.is_open() || !up.peer.alive(); });
+  }
+
+  std::mt19937 rng_;
+  Service s_;
+  long most_descriptors_;
+  std::vector<Client> clients_;
+  std::vector<Peer> left_, agents_;
+  std::vector<Up> ups_;
+  std::map<std::string, Visit> visits_;
+  std::map<int, int> arrived_;
+  std::vector<std::string> health_ = {"active", "active", "active"};
+  int ids_ = 0, seq_ = 1;
+  bool stopped_ = false, kind_ = false, watched_ = false;
+};
+
+TEST(Endings, NothingIsOwedAfterCrossingsByChance) {
+  for (std::uint32_t seed = 1; seed <= 24; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Crossings(seed).play(70);
+    if (HasFailure()) break;
+  }
+}
+
 }  // namespace
 }  // namespace meadow::test
--- a/tests/service.hpp
+++ b/tests/service.hpp
@@ -36,11 +36,14 @@
  public:
   Peer() = default;
   explicit Peer(int fd) : fd_(fd) {}
-  Peer(Peer&& o) noexcept : fd_(std::exchange(o.fd_, -1)), held_(std::move(o.held_)) {}
+  Peer(Peer&& o) noexcept
+      : fd_(std::exchange(o.fd_, -1)), held_(std::move(o.held_)), reset_(o.reset_), over_(o.over_) {}
   Peer& operator=(Peer&& o) noexcept {
     close();
     fd_ = std::exchange(o.fd_, -1);
     held_ = std::move(o.held_);
+    reset_ = o.reset_;
+    over_ = o.over_;
     return *this;
   }
   ~Peer() { close(); }
@@ -64,19 +67,21 @@
   // A whole message with its body; what came before the end if the connection ended.
   std::string hear() {
     for (;;) {
-      auto head = held_.find("\r\n\r\n");
-      if (head != held_.npos) {
-        auto at = held_.find("Content-Length: ");
-        auto size = head + 4 + (at < head ? std::stoul(held_.substr(at + 16, 16)) : 0);
-        if (held_.size() >= size) {
-          auto whole = held_.substr(0, size);
-          held_.erase(0, size);
-          return whole;
-        }
-      }
+      if (auto m = whole()) return *m;
       if (!more()) return std::exchange(held_, {});
     }
   }
+  // One that has come already.
+  std::optional<std::string> whole() {
+    auto head = held_.find("\r\n\r\n");
+    if (head == held_.npos) return {};
+    auto at = held_.find("Content-Length: ");
+    auto size = head + 4 + (at < head ? std::stoul(held_.substr(at + 16, 16)) : 0);
+    if (held_.size() < size) return {};
+    auto m = held_.substr(0, size);
+    held_.erase(0, size);
+    return m;
+  }
   // Waits until something has come.
   bool some() { return more(); }
   // All that comes until the other side's end.
@@ -90,6 +95,9 @@
     }
     return !timed_out_;
   }
+  [[nodiscard]] bool is_open() const { return fd_ >= 0; }
+  // The other side has not ended, as far as what has come was taken.
+  [[nodiscard]] bool alive() const { return !over_; }
   // The end that was met was a reset.
   [[nodiscard]] bool was_reset() const { return reset_; }
   // Nothing has come, and nothing has ended.
@@ -106,13 +114,14 @@
     char bytes[65536];
     auto n = recv(fd_, bytes, sizeof bytes, 0);
     reset_ = n < 0;
+    over_ = over_ || n <= 0;
     if (n <= 0) return false;
     held_.append(bytes, static_cast<std::size_t>(n));
     return true;
   }
   int fd_ = -1;
   std::string held_;
-  bool timed_out_ = false, reset_ = false;
+  bool timed_out_ = false, reset_ = false, over_ = false;
 };
 
 inline std::pair<int, std::string> status_and_body(const std::string& answer) {
