--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -410,6 +410,7 @@
   hand.fetch = number;
   if (!streamed_[static_cast<std::size_t>(hand.prefix)]) upstreams_.whole_by(e.fetch, hand.due);
   visits_.begun(job, number, now_);
+  call_off(job);  // copies that wait; this one is whole at its server
   commands_.push_back({.kind = Command::begin, .job = job, .client = client, .answer = std::move(e.answer)});
 }
 
--- a/src/routing/clients.cpp
+++ b/src/routing/clients.cpp
@@ -230,6 +230,7 @@
         c.request.reset();
         c.flying = c.counted;
         tally_.in_flight += c.flying;
+        if (c.hung) gone(c);
         return due_.set(transport::due_key(due_kind, c.id), c.due, transport::DueTimes::none);
       }
       if (!on) return c.stream.again(EPOLLIN);
