--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -694,7 +694,8 @@
   // would turn away visits that there is time to serve.
   double longest = std::min(longest_timeout_, over_most_ms);
   phase_until_ = now_ + leave_ms_.value_or(std::max(longest, still_come_ms));
-  over_at_ = now_ + longest + over_after_ms;
+  // Whoever asks for a longer time to serve on knows when the process would be killed.
+  over_at_ = std::max(now_ + longest, leave_ms_ ? phase_until_ : 0) + over_after_ms;
   give_up_at_ = over_at_ - last_words_ms;
 }
 
