One concurrency bound for all classes; a rejection says its reason

Cause, brain.cpp room(): (1) the tier's mean time over all classes was held against this class's own target; (2) part_of() cut a part off a bound that follows what is out: with late_held as the best class alone keeps it, 0.75 * 1.35 never lets another grow, in a tier as quick as ever; (3) times of classes that differ were blended as they came, so that the first, short ones were taken for calm, and another mix for crowding; note() counts each from its own target on. Change: one bound by the mean target over the same answers; times count in terms of their class (usual); what makes way does so at a smaller delay. A rejection or failure decided by the module has a Reason, counted by class in DUMP (only those that occurred) and named with the request's id at debug.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <random>
 #include <utility>
 
@@ -20,8 +19,7 @@
 // The throttle (PAPER, "sre" preset).
 constexpr int buckets = 40;
 constexpr double bucket_ms = 250;
-constexpr double k_top = 1.5;
-constexpr double k_floor = 1.1;
+constexpr double k_top = 1.5, k_floor = 1.1;
 constexpr double protection = 5;
 constexpr double trial_every_ms = 1000;
 
@@ -29,17 +27,15 @@
 constexpr double evidence_ms = 5000;  // outcomes fade over this time
 constexpr double bad_margin = 0.12;   // a server is benched whose failing share is above this
 constexpr double bad_times = 1.5;     // and so many times its peers'
-constexpr double bench_ms = 1000;     // the first bench; doubles with each relapse
-constexpr double bench_most_ms = 8000;
-constexpr double lesson_bench_ms = 4 * bench_ms;  // of a server that a successor is told is sick
+constexpr double bench_ms = 1000, bench_most_ms = 8000;  // the first; doubles with each relapse, up to it
+constexpr double lesson_bench_ms = 4 * bench_ms;         // of a server that a successor is told is sick
 constexpr double back_waits_ms = 2000;   // put back by hand, for a visit that may run again to try it
 constexpr double trial_waits_ms = 4000;  // after a bench, for a visit that may run again to try the server
 constexpr double forgiven_ms = 10000;    // well for this long: relapses are forgotten
 constexpr double slow_prior = 2;         // outcomes' worth of doubt in that mean
-constexpr double kind_gain = 0.02;
-constexpr double slow_gain = 0.02;
-constexpr double silence_floor_ms = 400;
-constexpr double silence_factor = 4;  // times the slow end of the tier's answers, with one visit out
+constexpr double kind_gain = 0.02, slow_gain = 0.02;
+constexpr double silence_floor_ms = 400,
+                 silence_factor = 4;  // times the slow end of the tier's answers, with one visit out
 constexpr double panic_share = 0.5;   // with fewer than this share of the ready usable, all are used
 
 // Room: with so many of ours out that one more would be answered too late, the first tier is full to us.
@@ -66,14 +62,13 @@
 constexpr double spill_least = 0.03;  // of all instances of the zone, over up to so many of them
 constexpr double spill_over = 10;
 constexpr double near_times = 0.7;  // of what is no crowd: a zone whose servers hold that spills at once
-constexpr double spill_up = 0.01;   // each tick
-constexpr double spill_down = 0.005;
-constexpr double spill_gain = 0.15;     // of what the own zone is busier
+constexpr double spill_up = 0.01, spill_down = 0.005;  // each tick
+constexpr double spill_gain = 0.15;                    // of what the own zone is busier
 constexpr double util_fresh_ms = 1500;  // a zone's reported load is as old as this where little comes
-constexpr double util_gain_most = 0.5;
-constexpr double zone_busy = 0.5;
-constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
-constexpr double stay_span = 0.2;     // of reported load below room_util, over which a full part means less
+constexpr double util_gain_most = 0.5, zone_busy = 0.5;
+constexpr double zone_slower = 1.25,
+                 stay_span = 0.2;  // own zone's mean time over the others'; of reported load below room_util,
+                                   // over which a full part means less
 
 // Tenants: what one sends beyond both its quota and its part goes first when there is too little.
 constexpr double extra_cut = 0.5;   // of the room
@@ -91,8 +86,7 @@
 constexpr double last_ticks = 3;    // of the wire before a visit is due, in which it is fetched no more
 
 // Cold servers.
-constexpr double cold_safety = 0.5;
-constexpr double cold_burst = 1;
+constexpr double cold_safety = 0.5, cold_burst = 1;
 constexpr double cold_few = 16;        // up to so many balancers each begins with one
 constexpr double cold_pause_ms = 500;  // after a failure, where only cold servers are left
 
@@ -121,12 +115,10 @@
 constexpr double look_waits = 2;  // times a probe's usual time
 constexpr double look_fresh = 5;  // the same, for how long a look holds
 constexpr double far_load = 0.1;  // of a visit: the own zone's servers go first among equals
-constexpr double pace_gain = 0.02;
-constexpr double pace_least = 0.5, pace_most = 2;
+constexpr double pace_gain = 0.02, pace_least = 0.5, pace_most = 2;
 
 // The list.
-constexpr double tick_ms = 100;
-constexpr double ask_first_ms = 400;
+constexpr double tick_ms = 100, ask_first_ms = 400;
 constexpr double ask_each_ms = 20;  // more for each instance of the tier
 constexpr double ask_base_ms = 500;
 constexpr double ask_silent_ms = 5000;  // an asking without an answer counts as failed after this
@@ -139,6 +131,8 @@
   Group group = Group::cell;
   double ttl = 0;
   double log_took = 0;  // mean log of time taken, weights taken out
+  double usual = 1;     // its mean time in those of the tier, whose mean is over all classes
+  int answers = 0;
   double target = 1000, earnings = 1;
 };
 
@@ -407,7 +401,11 @@
     // What small instances may hold on top of it for chance adds up over them.
     double few = ready * part * room_floor * tiers / replicas;
     if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
-    double bound = std::min(room_share * prefix(v).target, room_times * calm);
+    // One bound for all classes, by the tier's mean target: by its own a class of short ones looked late
+    // while the others were as usual. What makes way does so at a smaller delay: cut by a part of what is
+    // out, which follows what is let in, it was never let in again while the best class alone kept the bound
+    // where it was.
+    double bound = std::min(room_share * late_target, (1 + (room_times - 1) * part * part) * calm);
     // Chance is left out once the tier looks crowded. What is given up on never shows its time.
     double over = calm > 0 ? late_took / bound / timely : 0;
     double full = (over - 1) / crowd_times;
@@ -418,7 +416,7 @@
     // What chance puts on one of many it does not put on the tier: while that has time left, more passes.
     double few_of = std::sqrt(std::max(1.0, replicas / chance_alone));
     double wide = tier_util > 0 ? std::clamp(chance_util / tier_util, 1.0, std::min(few_of, chance_most)) : 1;
-    return out_all + 1 <= part * (late_held / over + wide * chance * std::sqrt(late_held));
+    return out_all + 1 <= late_held / over + wide * chance * std::sqrt(late_held);
   }
 
   [[nodiscard]] bool cold(const Be& be, double now) const {
@@ -434,7 +432,6 @@
     return look_column >= 0 && now - be.looked_at <= 2 * wire_tick + look_fresh * probe_took;
   }
 
-  // The same where a fresh look says that no balancer has anything there.
   [[nodiscard]] bool seen_idle(const Be& be, double now) const {
     return fresh_look(be, now) && be.load < 0.5 && be.out == 0 && now - be.failed_at > cold_pause_ms;
   }
@@ -446,41 +443,45 @@
   }
 
   // --- Rules: every send passes permitted(), every own final answer passes finish() -----------------------
-  bool permitted(const Visit& v, int i, double now) {
+  Reason forbids(const Visit& v, int i, double now) {
     const auto& be = bes[i];
-    if (v.answered || v.streaming || v.sent >= max_fetches || now >= v.due) return false;
-    if (v.sent > 0 && (v.spent || (v.large && v.out > 0))) return false;
-    // The last fetch was given up for want of time: another would put off the final answer past the due time.
-    if (v.sent > 0 && now >= v.due - last_ticks * wire_tick) return false;
-    if (be.standing != Standing::ready || be.shut) return false;
-    if (cold(be, now) && be.tokens < 1 && !alone(be, now) && !seen_idle(be, now)) return false;
+    if (v.answered || v.streaming || v.sent >= max_fetches) return Reason::attempts;
+    if (v.sent > 0 && (v.spent || (v.large && v.out > 0))) return Reason::attempts;
+    // The last was given up for want of time: another would put off the final answer past the due time.
+    if (now >= v.due - (v.sent > 0 ? last_ticks * wire_tick : 0)) return Reason::deadline;
+    if (!open(be)) return Reason::no_server;
     const auto& p = prefix(v);
     for (int n = 0; n < v.sent; ++n) {
       const auto& f = v.fetches[n];
-      if (f.out && !second_copies) return false;
+      if (f.out && !second_copies) return Reason::attempts;
       if (!ran_maybe(f) || p.repeat == Repeat::readlike) continue;
-      if (p.repeat == Repeat::mutating || now - f.sent > p.ttl * (1 - ttl_margin)) return false;
       const auto& was = bes[f.be];
-      if (p.group == Group::zone && was.zone != be.zone) return false;
-      if (p.group == Group::cell && was.pod != be.pod) return false;
+      if (p.repeat == Repeat::mutating || now - f.sent > p.ttl * (1 - ttl_margin) ||
+          (p.group == Group::zone && was.zone != be.zone) || (p.group == Group::cell && was.pod != be.pod))
+        return Reason::not_repeatable;
     }
-    return true;
+    bool eased_in = cold(be, now) && be.tokens < 1 && !alone(be, now) && !seen_idle(be, now);
+    return eased_in ? Reason::slow_start : Reason::none;
+  }
+  bool permitted(const Visit& v, int i, double now) {
+    auto reason = forbids(v, i, now);
+    if (reason != Reason::no_server) refusal = reason;
+    return reason == Reason::none;
   }
 
   // The final answer when nothing was delivered: a bounce only where a client's repeat does no harm.
-  Answer finish(Visit& v, double now) {
+  Answer finish(Visit& v, Reason reason, double now) {
     Answer a;
     if (v.answered || v.streaming) return a;
     const auto& p = prefix(v);
     bool harmless = true;
-    for (int n = 0; n < v.sent; ++n) {
-      const auto& f = v.fetches[n];
-      if (!ran_maybe(f) || p.repeat == Repeat::readlike) continue;
-      if (p.repeat == Repeat::mutating || p.group != Group::all || now - f.sent > p.ttl * (1 - ttl_margin))
-        harmless = false;
-    }
+    for (int n = 0; n < v.sent; ++n)
+      if (const auto& f = v.fetches[n]; ran_maybe(f) && p.repeat != Repeat::readlike)
+        harmless = harmless && p.repeat == Repeat::tagged && p.group == Group::all &&
+                   now - f.sent <= p.ttl * (1 - ttl_margin);
     v.answered = true;
     a.kind = harmless ? Answer::bounce : Answer::error;
+    a.reason = reason;
     if (harmless) a.retry_after = most_advice * std::clamp(std::max(drop(now), turned_away), 0.0, 1.0);
     a.cancel = rest(v);
     return a;
@@ -496,6 +497,7 @@
   // --- The pick -------------------------------------------------------------------------------------------
   int pick(const Visit& v, double now) {
     candidates.clear();
+    refusal = Reason::no_server;
     double others = 0;
     int known = 0, ready = 0, sick = 0;
     // A trial of a server that may still fail costs a mutating visit, and nothing one that may run again.
@@ -566,6 +568,7 @@
 
   bool crowded_out(bool full) {
     turned_away += calm_gain * (full - turned_away);
+    if (full) refusal = Reason::concurrency_limit;
     return full;
   }
 
@@ -574,7 +577,6 @@
     return pace * (be.load * mean_work + (v.work > 0 ? v.work : mean_work)) / grown(be, now);
   }
 
-  // An answer after the target latency earns nothing and keeps others waiting.
   [[nodiscard]] bool too_late(const Visit& v, const Be& be, double now) {
     return expected(v, be, now) > part_of(v) * prefix(v).target;
   }
@@ -836,7 +838,7 @@
       retries = std::min(retry_most, retries + retry_share);
       tally(v, now);
       if (v.work > 0) blend(mean_work, v.work, pace_gain);
-      if (throttled(v, now)) return finish(v, now);
+      if (throttled(v, now)) return finish(v, Reason::throttle, now);
     } else if (v.out > 0) {
       // What takes long mostly is much work, which a copy would do twice: only a sick server is a reason.
       const auto& be = bes[v.fetches[v.sent - 1].be];
@@ -850,7 +852,7 @@
     }
     if (Answer a; ask_looks(v, a, now)) return a;
     int i = pick(v, now);
-    return i >= 0 ? send(v, i, now) : finish(v, now);
+    return i >= 0 ? send(v, i, now) : finish(v, refusal, now);
   }
 
   Answer after(Visit& v, const Report& rt, double now) {
@@ -876,6 +878,7 @@
     // What never came up cost nobody work, and is not of the budget: it ran out while a server could not be
     // reached, and visits that any other could have served were bounced.
     bool unreached = rt.status == Status::unreachable;
+    refusal = retries < 1 ? Reason::retry_budget : Reason::throttle;
     if (unreached || again(rt.status, now)) {
       if (ask_looks(v, a, now)) return a;
       int i = pick(v, now);
@@ -884,7 +887,7 @@
         return send(v, i, now);
       }
     }
-    return finish(v, now);
+    return finish(v, refusal, now);
   }
 
   [[nodiscard]] bool again(Status s, double now) const {
@@ -895,6 +898,13 @@
     mean += (mean > 0 ? gain : 1) * (sample - mean);
   }
 
+  // Times count in terms of their class, or another mix of classes looks like a slower tier.
+  double usual_of(Prefix& p, double took) {
+    if (late_took > 0 && prefixes.size() > 1)
+      p.usual += std::max(calm_gain, 1.0 / ++p.answers) * (took / late_took - p.usual);
+    return p.usual;
+  }
+
   void note(const Fetch& f, Prefix& p, double now) {
     auto& be = bes[f.be];
     bool ok = f.status == Status::delivered;
@@ -915,10 +925,12 @@
         pace = std::clamp(pace * (1 + pace_gain * (took / f.expected - 1)), pace_least, pace_most);
       // What ends early on was quick, for the long ones are still out: such times say nothing yet.
       if (now - started > p.target) {
-        double gain = std::max(calm_gain, 1.0 / ++answers);
-        blend(mean_took, took, gain);
-        blend(late_took, took, std::max(room_gain, gain));
-        blend(late_held, f.held, std::max(room_gain, gain));
+        double gain = std::max(calm_gain, 1.0 / ++answers), late_gain = std::max(room_gain, gain);
+        double usual = usual_of(p, took);
+        blend(mean_took, took / usual, gain);
+        blend(late_took, took / usual, late_gain);
+        blend(late_target, p.target / usual, late_gain);
+        blend(late_held, f.held, late_gain);
       }
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
     }
@@ -969,8 +981,8 @@
       bool known = std::find(listed.begin(), listed.end(), e.be) != listed.end();
       if (!known) listed.push_back(e.be);
       if (!known || e.up_since > be.up_since) {
-        be =
-            Be{.out = be.out, .shut = be.shut, .shut_at = be.shut_at, .back_at = known ? be.back_at : -never};
+        double back = known ? be.back_at : -never;
+        be = Be{.out = be.out, .shut = be.shut, .shut_at = be.shut_at, .back_at = back};
         be.waiting_since = be.tokens_at = now;
         // A whole token with each of hundreds pushed servers over at their start: the rest comes evenly.
         double part = std::max(warm_rate * overload_factor * cold_share * cold_safety * overload_for,
@@ -1013,17 +1025,10 @@
       be.shut_at = now;
       return;
     }
-    be = Be{.zone = be.zone,
-            .pod = be.pod,
-            .sku = be.sku,
-            .standing = be.standing,
-            .up_since = be.up_since > be.shut_at ? be.up_since : now,
-            .weight = be.weight,
-            .out = be.out,
-            .waiting_since = now,
-            .tokens_at = now,
-            .id = be.id,
-            .back_at = now};
+    auto was = std::exchange(be, Be{.zone = be.zone, .pod = be.pod, .sku = be.sku, .standing = be.standing});
+    be.up_since = was.up_since > was.shut_at ? was.up_since : now;
+    be.weight = was.weight, be.out = was.out, be.id = was.id;
+    be.waiting_since = be.tokens_at = be.back_at = now;
   }
 
   // What a successor would learn anew at its visits' cost. Outcomes, budgets and what is out are its own.
@@ -1107,9 +1112,7 @@
     if (n > 0) warm_rate = warm / n / seen;
     double d = drop(now);
     if (d > 0.1 && now - said > 5000) {
-      char text[80];
-      std::snprintf(text, sizeof text, "throttle refuses %.0f in 100", d * 100);
-      lines.emplace_back(text);
+      lines.push_back("throttle refuses " + std::to_string(std::lround(d * 100)) + " in 100");
       said = now;
     }
     c.lines = std::exchange(lines, {});
@@ -1128,8 +1131,8 @@
   double near_full = never, others_here = 0, spill = spill_least, beyond = spill_least, near_took = 0,
          far_took = 0;
   double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
-         late_held = 0, late_took = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2, warm_ms = 20000,
-         overload_factor = 2, overload_for = 1500;
+         late_held = 0, late_took = 0, late_target = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
+         warm_ms = 20000, overload_factor = 2, overload_for = 1500;
   bool some_run_again = false;                           // among the path prefixes
   int column = -1, depth_column = -1, look_column = -1;  // of load reports: see the constructor
   bool worded = false, tells = false;                    // answers tell what waits; memos of it are allowed
@@ -1146,6 +1149,7 @@
   std::array<Bucket, buckets> window{};
   std::vector<Be> bes;
   std::vector<int> listed, candidates;
+  Reason refusal = Reason::none;  // why the last pick, or the last server it looked at, was none
   std::vector<double> kind_slow = {0};
   double last_answer = -never, turned_away = 0, slow_end = 0, warm_rate = 0;
   double retries = retry_burst, retry_most = retry_burst;
--- a/src/brain/brain.hpp
+++ b/src/brain/brain.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace meadow {
@@ -118,6 +119,23 @@
   Gauge gauge;
 };
 
+// Why a request was rejected or failed, as far as the module decided it.
+enum class Reason : std::uint8_t {
+  none,
+  throttle,           // the admission throttle
+  concurrency_limit,  // the first tier is full to this balancer, for this class
+  retry_budget,       // another attempt was possible, and none was left to spend
+  attempts,           // the most attempts allowed were made, or a body could not be sent twice
+  deadline,           // too little time was left
+  not_repeatable,     // an earlier attempt may have run, and its effect, group or window forbids another
+  slow_start,         // only cold servers were left, and their budget was used up
+  no_server           // none was listed as ready, or all of them had been tried
+};
+inline constexpr std::string_view reason_names[] = {"none",           "throttle",   "concurrency_limit",
+                                                    "retry_budget",   "attempts",   "deadline",
+                                                    "not_repeatable", "slow_start", "no_server"};
+inline constexpr std::size_t reason_count = std::size(reason_names);
+
 // What to do with a visit now. `cancel` has a bit for each fetch to be called off.
 struct Answer {
   enum Kind : std::uint8_t { nothing, fetch, later, bounce, error } kind = nothing;
@@ -126,6 +144,7 @@
   std::uint32_t cancel = 0;
   std::array<int, most_looks> look{};  // servers to probe now
   int looks = 0;
+  Reason reason = Reason::none;  // of a bounce or an error
 };
 
 // How long to wait: for the newest fetch, and until where() is asked again.
--- a/src/drill/instance.cpp
+++ b/src/drill/instance.cpp
@@ -69,8 +69,8 @@
 void Instance::send(routing::Job job, int, int be, double limit) {
   out_->forward(job, upstreams_[be], limit);
 }
-void Instance::bounce(routing::Job job, double retry_after) { out_->bounce(job, retry_after); }
-void Instance::error(routing::Job job) { out_->drop_request(job); }
+void Instance::bounce(routing::Job job, double retry_after, Reason) { out_->bounce(job, retry_after); }
+void Instance::error(routing::Job job, Reason) { out_->drop_request(job); }
 void Instance::cancel(routing::Job job, int number) { out_->cancel(job, static_cast<std::uint8_t>(number)); }
 
 void Instance::knock(Record r, double now, Reply& out) {
--- a/src/drill/instance.hpp
+++ b/src/drill/instance.hpp
@@ -28,8 +28,8 @@
 
  private:
   void send(routing::Job job, int number, int be, double limit) override;
-  void bounce(routing::Job job, double retry_after) override;
-  void error(routing::Job job) override;
+  void bounce(routing::Job job, double retry_after, Reason) override;
+  void error(routing::Job job, Reason) override;
   void cancel(routing::Job job, int number) override;
   void look(int be) override { out_->ask_load(upstreams_[be]); }
 
--- a/src/management/calls.cpp
+++ b/src/management/calls.cpp
@@ -26,6 +26,8 @@
   add(to, under + "success", c.success, 'c');
   add(to, under + "busy", c.busy, 'c');
   add(to, under + "failure", c.failure, 'c');
+  for (std::size_t i = 1; i < reason_count; ++i)
+    if (c.reasons[i] > 0) add(to, under + "rejected." + std::string(reason_names[i]), c.reasons[i], 'c');
 }
 
 }  // namespace
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -574,22 +574,33 @@
   commands_.push_back({.kind = Command::fetch, .job = job, .number = number, .be = be, .value = limit});
 }
 
-void Balancer::bounce(Job job, double retry_after) {
+// One line each, with the request's id, so that it can be followed through every balancer that touched it.
+void Balancer::turned_away(Job job, std::string_view how, Reason reason) {
+  const auto& hand = hands_.at(job);
+  auto name = reason_names[static_cast<std::size_t>(reason)];
+  ++tally_.prefixes[static_cast<std::size_t>(hand.prefix)].reasons[static_cast<std::size_t>(reason)];
+  if (!say_.wants(Level::debug)) return;
+  auto id = hand.visit->find(names::id);
+  const auto& prefix = prefixes_[static_cast<std::size_t>(hand.prefix)];
+  say_(Level::debug,
+       std::string("request ").append(id) + " of " + prefix + " " + std::string(how) + ": " +
+           std::string(name) + ", " + std::to_string(visits_.size()) + " in hand",
+       {{"request", id},
+        {"class", prefix},
+        {"reason", name},
+        {"in_hand", static_cast<double>(visits_.size())}});
+}
+
+void Balancer::bounce(Job job, double retry_after, Reason reason) {
   bounced_ = job;
-  if (say_.wants(Level::debug))
-    say_(Level::debug,
-         std::string("visit ").append(std::to_string(job)).append(": bounced with ") +
-             std::to_string(visits_.size()) + " in hand",
-         {{"visit", static_cast<double>(job)}, {"in_hand", static_cast<double>(visits_.size())}});
+  turned_away(job, "rejected", reason);
   commands_.push_back(
       {.kind = Command::bounce, .job = job, .value = retry_after, .client = answering(job), .status = 503});
 }
 
-void Balancer::error(Job job) {
+void Balancer::error(Job job, Reason reason) {
   int status = hands_.at(job).last;
-  if (say_.wants(Level::debug))
-    say_(Level::debug, std::string("visit ").append(std::to_string(job)).append(": errored"),
-         {{"visit", static_cast<double>(job)}, {"status", static_cast<double>(status)}});
+  turned_away(job, "failed", reason);
   commands_.push_back(
       {.kind = Command::error, .job = job, .client = answering(job), .status = status > 0 ? status : 500});
 }
--- a/src/routing/balancer.hpp
+++ b/src/routing/balancer.hpp
@@ -114,8 +114,9 @@
   enum class Phase : std::uint8_t { serving, leaving, winding_up, over };
 
   void send(Job job, int number, int be, double limit) override;
-  void bounce(Job job, double retry_after) override;
-  void error(Job job) override;
+  void turned_away(Job job, std::string_view how, Reason reason);
+  void bounce(Job job, double retry_after, Reason reason) override;
+  void error(Job job, Reason reason) override;
   void cancel(Job job, int number) override;
   void look(int be) override { commands_.push_back({.kind = Command::probe, .be = be}); }
   void released(Job job) override;
--- a/src/routing/figures.hpp
+++ b/src/routing/figures.hpp
@@ -1,15 +1,19 @@
 // What a balancer has done and has in hand, counted where it happens.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "brain/brain.hpp"
+
 namespace meadow::routing {
 
 struct Calls {
   std::uint64_t success = 0, busy = 0, failure = 0;
+  std::array<std::uint64_t, reason_count> reasons{};  // of those that the module rejected or failed
 
   void count(int status) { ++(status == 200 ? success : status == 429 || status == 503 ? busy : failure); }
 };
--- a/src/routing/visits.cpp
+++ b/src/routing/visits.cpp
@@ -20,10 +20,10 @@
       break;
     }
     case Answer::bounce:
-      effects_.bounce(job, a.retry_after);
+      effects_.bounce(job, a.retry_after, a.reason);
       break;
     case Answer::error:
-      effects_.error(job);
+      effects_.error(job, a.reason);
       break;
     case Answer::nothing:
       break;
--- a/src/routing/visits.hpp
+++ b/src/routing/visits.hpp
@@ -17,8 +17,8 @@
 class Effects {
  public:
   virtual void send(Job job, int number, int be, double limit) = 0;
-  virtual void bounce(Job job, double retry_after) = 0;
-  virtual void error(Job job) = 0;
+  virtual void bounce(Job job, double retry_after, Reason reason) = 0;
+  virtual void error(Job job, Reason reason) = 0;
   virtual void cancel(Job job, int number) = 0;
   virtual void look(int be) = 0;
   // Answered and nothing out: the visit is forgotten, and so may its bytes be.
