Short requests behind long ones are copied by their class's time; worth counts by time

Cause: wait() and where() let only a sick server's request have a second copy, by the slow end over all classes (some 1.5 s); the class lost its whole budget in a queue. part_of() cut the class that earns 1 a request for one that earns 3, though it takes a thirtieth of the time. Change: a class whose usual time is under half of the tier's mean has its copy (where copies are allowed) after 1.5 times its own mean, and the copy costs the retry budget only its part of a usual request; what makes way in a crowd is what earns less for the time it takes.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -1,5 +1,4 @@
 // meadowgauge's decisions, all of them, with every constant one of them rests on.
-//
 // The interface is defined in brain.hpp; docs/design.md gives the reasons. The mechanism is the caller-side
 // throttle over ten seconds of outcomes, then the idle-first pick.
 
@@ -42,16 +41,13 @@
 constexpr double room_share = 0.75;      // of the target latency, at most
 constexpr double room_times = 1.35;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
-constexpr double calm_gain = 0.008;
-constexpr double room_gain = 0.04;   // of the latest times and numbers: they follow the load
+constexpr double calm_gain = 0.008, room_gain = 0.04;  // the latter of what follows the load
 constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
 constexpr int calm_after = 20;       // answers before the calm time means anything
 constexpr double room_chance = 1.2;  // roots of the usual number
 constexpr double crowd_times = 0.8;  // over the bound by this share, nothing is left to chance
-constexpr double mean_from = 0.75;   // of what is no crowd: from there on the mean out uses up chance
-constexpr double mean_span = 0.5;
-constexpr double room_util = 0.6;     // a tier less busy than this has more room, by as much,
-constexpr double room_util_most = 2;  // up to this
+constexpr double mean_from = 0.75, mean_span = 0.5;  // of what is no crowd: there the mean out uses up chance
+constexpr double room_util = 0.6, room_util_most = 2;  // a tier less busy has as much more room, up to this
 // Of many instances each may pass so many times that chance, while the tier is less busy than this.
 constexpr double chance_util = 0.8, chance_most = 3, chance_alone = 3;
 constexpr double timely_least = 0.05;
@@ -66,24 +62,25 @@
 constexpr double spill_gain = 0.15;                    // of what the own zone is busier
 constexpr double util_fresh_ms = 1500;  // a zone's reported load is as old as this where little comes
 constexpr double util_gain_most = 0.5, zone_busy = 0.5;
-constexpr double zone_slower = 1.25,
-                 stay_span = 0.2;  // own zone's mean time over the others'; of reported load below room_util,
-                                   // over which a full part means less
+constexpr double zone_slower = 1.25;  // own zone's mean time over the others'
+constexpr double stay_span = 0.2;     // of reported load below room_util, over which a full part means less
 
 // Tenants: what one sends beyond both its quota and its part goes first when there is too little.
-constexpr double extra_cut = 0.5;   // of the room
-constexpr double low_cut = 0.25;    // the same for path prefixes that earn less than the best
-constexpr double crowd_from = 0.2;  // share turned away from which both grow; whole at twice that
+constexpr double extra_cut = 0.5;     // of the room
+constexpr double worth_margin = 1.2;  // by so much less
+constexpr double low_cut = 0.25;      // the same for path prefixes that earn less for the time they take
+constexpr double crowd_from = 0.2;    // share turned away from which both grow; whole at twice that
 constexpr double quota_burst_ms = 1000;
 constexpr double part_burst = 10;  // visits
 
 // Repeats.
 constexpr double retry_share = 0.1;  // fetches beyond the first, per visit
 constexpr double retry_burst = 10;
-constexpr double retry_all = 300;   // of all balancers together: a thousand with ten each doubled a crowd
-constexpr double copy_after = 1.5;  // times the slow end of the answers, for a sick server's visits
-constexpr double ttl_margin = 0.1;  // of the time repeats are dropped, kept in hand
-constexpr double last_ticks = 3;    // of the wire before a visit is due, in which it is fetched no more
+constexpr double retry_all = 300;    // of all balancers together: a thousand with ten each doubled a crowd
+constexpr double copy_after = 1.5;   // times the slow end of the answers, for a sick server's visits
+constexpr double short_share = 0.5;  // of the tier's mean time
+constexpr double ttl_margin = 0.1;   // of the time repeats are dropped, kept in hand
+constexpr double last_ticks = 3;     // of the wire before a visit is due, in which it is fetched no more
 
 // Cold servers.
 constexpr double cold_safety = 0.5, cold_burst = 1;
@@ -198,7 +195,6 @@
       p.target = facts.number(at + "target_latency_ms", 1000);
       p.earnings = facts.number(at + "earnings", 1);
       some_run_again = some_run_again || p.repeat != Repeat::mutating;
-      top_earnings = std::max(top_earnings, p.earnings);
       prefixes.push_back(p);
     }
     replicas = std::max(1.0, facts.number("replicas_of_me", 1));
@@ -304,7 +300,6 @@
     v.extra = over && t.part_left < 0;
   }
 
-  // True: this visit is refused at its arrival.
   bool throttled(const Visit& v, double now) {
     double d = drop(now);
     if (d > 0 && now - last_passed < trial_every_ms && (uniform() < d || (v.extra && uniform() < d))) {
@@ -386,10 +381,16 @@
     return sick(be, now) < sick_from && !benched(be, now) && !(be.trial && be.out > 0) && !silent(be, now);
   }
 
+  [[nodiscard]] bool makes_way(const Visit& v) {
+    auto worth = [this](const Prefix& p) { return p.earnings / (p.answers > 0 ? p.usual : mean_usual); };
+    double more = worth_margin * worth(prefix(v));
+    return std::any_of(prefixes.begin(), prefixes.end(), [&](const auto& p) { return worth(p) > more; });
+  }
+
   // In a crowd, and only then, what earns less and what is beyond a share make way.
   [[nodiscard]] double part_of(const Visit& v) {
     double crowd = std::clamp((turned_away - crowd_from) / crowd_from, 0.0, 1.0);
-    return 1 - crowd * ((v.extra ? extra_cut : 0) + (prefix(v).earnings < top_earnings ? low_cut : 0));
+    return 1 - crowd * ((v.extra ? extra_cut : 0) + (makes_way(v) ? low_cut : 0));
   }
 
   // Whether the tier can take one more of ours in time: what is out now against what usually is, by the time
@@ -401,10 +402,8 @@
     // What small instances may hold on top of it for chance adds up over them.
     double few = ready * part * room_floor * tiers / replicas;
     if (tier_util > 0) few *= std::clamp(room_util / tier_util, 1.0, room_util_most);
-    // One bound for all classes, by the tier's mean target: by its own a class of short ones looked late
-    // while the others were as usual. What makes way does so at a smaller delay: cut by a part of what is
-    // out, which follows what is let in, it was never let in again while the best class alone kept the bound
-    // where it was.
+    // By the mean target: by its own a class of short ones looked late while the others were as usual. What
+    // makes way does so at a smaller delay: cut off what is out, which follows what gets in, it never did so.
     double bound = std::min(room_share * late_target, (1 + (room_times - 1) * part * part) * calm);
     // Chance is left out once the tier looks crowded. What is given up on never shows its time.
     double over = calm > 0 ? late_took / bound / timely : 0;
@@ -572,7 +571,6 @@
     return full;
   }
 
-  // The time a visit would take behind what a look found.
   [[nodiscard]] double expected(const Visit& v, const Be& be, double now) const {
     return pace * (be.load * mean_work + (v.work > 0 ? v.work : mean_work)) / grown(be, now);
   }
@@ -612,9 +610,9 @@
   }
   [[nodiscard]] double look_wait() const { return wire_tick + look_waits * probe_took; }
 
-  // The server for a key: all balancers rank servers alike by hashes, the more powerful kinds higher. A key
-  // goes to the first near one, a popular one to the lesser of two of the first few; to the next in rank, or
-  // to those it has in another zone, where that is quicker by more than it costs.
+  // All balancers rank servers alike by hashes, the more powerful kinds higher. A key goes to the first near
+  // one, a popular one to the lesser of two of the first few; to the next in rank, or far, where that is
+  // quicker.
   int keyed(const Visit& v, double now) {
     auto& ranks = ranked;
     ranks[0].clear(), ranks[1].clear();
@@ -623,7 +621,6 @@
       double u = (static_cast<double>(h >> 12) + 0.5) / 4503599627370496.0;
       ranks[bes[i].zone != zone].push_back({-std::log(u) * kind_time[bes[i].sku].value, i});
     }
-    // A visit that goes on from one server has come once.
     double share = (v.sent == 0 ? keys.came(v.key) : 0) + key_first * keys.doubt() * keys.doubt();
     int pick = candidates.front();
     double least = never;
@@ -649,8 +646,7 @@
   }
 
   // A part of under one visit is full with a single one, which says little of what the zone holds: by the
-  // share of its instances that are not this one a second goes near, while the zone is not busy. Without
-  // that bound servers choked by the dozen.
+  // share of its instances that are not this one a second goes near, while the zone is not busy.
   [[nodiscard]] double stays() const {
     if (others_here == 0 || near_util == 0 || far_util == 0) return 0;
     double busier = std::clamp((near_util / far_util - 1) / (zone_slower - 1), 0.0, 1.0);
@@ -840,14 +836,14 @@
       if (v.work > 0) blend(mean_work, v.work, pace_gain);
       if (throttled(v, now)) return finish(v, Reason::throttle, now);
     } else if (v.out > 0) {
-      // What takes long mostly is much work, which a copy would do twice: only a sick server is a reason.
+      // What takes long mostly is much work, which a copy would do twice; what is short is behind such.
       const auto& be = bes[v.fetches[v.sent - 1].be];
       if (!copies(v)) return {};
-      if (!(benched(be, now) || silent(be, now)) || !again(Status::timeout, now))
+      if (!(is_short(v) || benched(be, now) || silent(be, now)) || !again(Status::timeout, now))
         return {.kind = Answer::later};
       int i = pick(v, now);
       if (i < 0) return {.kind = Answer::later};
-      retries -= 1;
+      retries -= is_short(v) ? prefix(v).usual / mean_usual : 1;
       return send(v, i, now);
     }
     if (Answer a; ask_looks(v, a, now)) return a;
@@ -870,13 +866,9 @@
     note(f, prefix(v), now);
     Answer a;
     if (was_answered) return a;
-    if (v.answered) {
-      a.cancel = rest(v);
-      return a;
-    }
-    if (v.out > 0 || v.streaming) return a;
-    // What never came up cost nobody work, and is not of the budget: it ran out while a server could not be
-    // reached, and visits that any other could have served were bounced.
+    if (v.answered) a.cancel = rest(v);
+    if (v.answered || v.out > 0 || v.streaming) return a;
+    // What never came up cost nobody work: the budget ran out while a server could not be reached.
     bool unreached = rt.status == Status::unreachable;
     refusal = retries < 1 ? Reason::retry_budget : Reason::throttle;
     if (unreached || again(rt.status, now)) {
@@ -930,6 +922,7 @@
         blend(mean_took, took / usual, gain);
         blend(late_took, took / usual, late_gain);
         blend(late_target, p.target / usual, late_gain);
+        blend(mean_usual, usual, gain);
         blend(late_held, f.held, late_gain);
       }
       if (crossing_costs) blend(be.zone == zone ? near_took : far_took, took, calm_gain);
@@ -943,18 +936,23 @@
   Patience wait(const Visit& v, double now) {
     Patience p;
     p.limit = std::max(wire_tick, v.due - now - 2 * wire_tick);
-    // Where no copy may go beside it, a fetch that takes longer than nearly all is given up in time for
-    // another.
+    // Where no copy may go beside it, what takes longer than nearly all is given up in time for another.
     double half = prefix(v).target / 2;
     if (!second_copies && worded && v.sent < 2 && prefix(v).repeat != Repeat::mutating && slow_end < half &&
         slow_end > 0 && retries >= 1)
       p.limit = std::min(p.limit, half);
     if (v.out == 0) p.again = look_wait();
     if (copies(v) && v.out == v.sent && v.out > 0)
-      p.again = std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
+      p.again = is_short(v) ? copy_after * std::exp(prefix(v).log_took)
+                            : std::max(silence_floor_ms, copy_after * slow_end) * v.sent;
     return p;
   }
 
+  // To do it twice costs the tier little.
+  [[nodiscard]] bool is_short(const Visit& v) {
+    return prefix(v).answers >= calm_after && prefix(v).usual < short_share * mean_usual;
+  }
+
   [[nodiscard]] bool copies(const Visit& v) {
     return second_copies && v.sent < 2 && !v.large && prefix(v).repeat != Repeat::mutating;
   }
@@ -1015,8 +1013,8 @@
       least += (mean - least) * tick_ms / calm_drift_ms;
   }
 
-  // Put back, nothing known of it before counts, and the next visit tries it. It was taken out to be started
-  // anew: unless a list has told when, it is cold from now on.
+  // Put back, nothing known of it counts, and the next visit tries it; unless a list has told when it was
+  // started anew, it is cold from now on.
   void shut(int i, bool out, double now) {
     if (i < 0 || i >= static_cast<int>(bes.size()) || bes[i].shut == out) return;
     auto& be = bes[i];
@@ -1130,8 +1128,8 @@
   int zone = 0;
   double near_full = never, others_here = 0, spill = spill_least, beyond = spill_least, near_took = 0,
          far_took = 0;
-  double top_earnings = 0, mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0,
-         late_held = 0, late_took = 0, late_target = 0, most_advice = 0, wire_tick = 5, cold_share = 0.2,
+  double mean_weight = 1, replicas = 1, stage = 0, tiers = 1, mean_took = 0, calm = 0, late_held = 0,
+         late_took = 0, late_target = 0, mean_usual = 1, most_advice = 0, wire_tick = 5, cold_share = 0.2,
          warm_ms = 20000, overload_factor = 2, overload_for = 1500;
   bool some_run_again = false;                           // among the path prefixes
   int column = -1, depth_column = -1, look_column = -1;  // of load reports: see the constructor
--- a/tests/class_mix_test.cpp
+++ b/tests/class_mix_test.cpp
@@ -118,5 +118,45 @@
   EXPECT_GT(dear, 1.3 * cheap);
 }
 
+// Servers take two at a time in order: a short one behind long ones is late, and is so again only if a second
+// server is busy too. What a copy of it costs is little; of a long one, it is not.
+TEST(ClassMix, AShortOneBehindLongOnesIsCopiedByItsClassesOwnTime) {
+  Mix mix{.classes = {{.share = 0.3, .work_ms = 4, .target_ms = 50, .timeout_ms = 150, .earnings = 1},
+                      {.share = 0.7, .work_ms = 120, .target_ms = 1500, .timeout_ms = 4000, .earnings = 3}},
+          .balancers = 30,
+          .servers = 20,
+          .slots = 2,
+          .load = 0.5,
+          .seconds = 30,
+          .counted_from_s = 12};
+  double copied = 0, alone = 0, longer = 0;
+  for (mix.seed = 1; mix.seed <= 3; ++mix.seed) {
+    mix.copies = true;
+    auto with = played(mix);
+    mix.copies = false;
+    auto without = played(mix);
+    copied += with.in_time[0] / 3, alone += without.in_time[0] / 3;
+    longer += (with.in_time[1] - without.in_time[1]) / 3;
+  }
+  EXPECT_GT(copied, alone + 0.1);
+  EXPECT_GT(longer, -0.03);
+}
+
+// Of a short class that earns less thirty times as many are served in the time of one that earns more.
+TEST(ClassMix, OverloadShedsWhatEarnsLessForTheTimeItTakes) {
+  Mix mix{.classes = {{.share = 0.4, .work_ms = 8, .target_ms = 200, .timeout_ms = 600, .earnings = 1},
+                      {.share = 0.6, .work_ms = 240, .target_ms = 2400, .timeout_ms = 8000, .earnings = 3}},
+          .balancers = 6,
+          .servers = 12,
+          .slots = 8,
+          .load = 0.5,
+          .surge = 1.5,
+          .seconds = 30,
+          .counted_from_s = 21};
+  double short_ones = 0;
+  for (mix.seed = 1; mix.seed <= 3; ++mix.seed) short_ones += played(mix).in_time[0] / 3;
+  EXPECT_GT(short_ones, 0.5);
+}
+
 }  // namespace
 }  // namespace meadow::test
