Reasons and leaving in a crowd have their tests; without a server the reason says so

Reasons.AreThoseThatTurnedARequestAway, Figures (DUMP), Endings.OfThirtyThatLeaveAtOnce... (cancels allowed and forbidden; thirty that stay are sent on, so that the test can fail). Seen by the first: with no candidate left the reason was concurrency_limit; it is now what kept the servers out (no_server, slow_start).

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -567,7 +567,7 @@
 
   bool crowded_out(bool full) {
     turned_away += calm_gain * (full - turned_away);
-    if (full) refusal = Reason::concurrency_limit;
+    if (full && !candidates.empty()) refusal = Reason::concurrency_limit;
     return full;
   }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -743,6 +743,48 @@
   EXPECT_LE(w.sends[0], 2);
 }
 
+// Operators ask why a class is turned away: each rejection and failure that the module decides says it.
+TEST(Reasons, AreThoseThatTurnedARequestAway) {
+  auto told = [](World& w, int id) { return w.reasons.contains(id) ? w.reasons[id] : Reason::none; };
+  auto failed_after = [&](World& w, int prefix, double timeout, std::initializer_list<Status> ends) {
+    int id = w.knock(prefix, timeout), n = 0;
+    for (auto s : ends) w.end(id, n++, s);
+    return told(w, id);
+  };
+  World w({}, 4, 1);
+  EXPECT_EQ(failed_after(w, 1, 5000, {Status::timeout}), Reason::not_repeatable);
+  EXPECT_EQ(failed_after(w, 0, 5000, {Status::reset, Status::reset, Status::reset, Status::reset}),
+            Reason::attempts);
+  EXPECT_EQ(failed_after(w, 4, 5000, {Status::reset, Status::reset}), Reason::not_repeatable);
+  World late({}, 4, 1);
+  int id = late.knock(0, 200);
+  late.pass(195);
+  late.end(id, 0, Status::error);
+  EXPECT_EQ(told(late, id), Reason::deadline);
+  World none({}, 0, 1);
+  EXPECT_EQ(told(none, none.knock(0, 500)), Reason::no_server);
+  World full({}, 4, 5);
+  for (int i = 0; i < 40; ++i) id = full.knock(0, 5000);
+  EXPECT_EQ(told(full, id), Reason::concurrency_limit);
+  World spent({}, 30, 1);
+  feed(spent, 60, 0);
+  Reason last = Reason::none;
+  for (int i = 0; i < 40 && last != Reason::retry_budget; ++i)
+    last = failed_after(spent, 0, 5000, {Status::full, Status::delivered});
+  EXPECT_EQ(last, Reason::retry_budget);
+  World jammed({}, 4, 1);
+  feed(jammed, 0, 300);
+  bool throttled = false;
+  for (int i = 0; i < 50; ++i)
+    throttled = throttled || told(jammed, jammed.knock(1, 900)) == Reason::throttle;
+  EXPECT_TRUE(throttled);
+  World cold({}, 1, 1);
+  cold.entries[0].up_since = cold.now;
+  cold.tell(ListKind::full, cold.entries);
+  for (int i = 0; i < 3; ++i) id = cold.knock(0, 5000);
+  EXPECT_EQ(told(cold, id), Reason::slow_start);
+}
+
 TEST(List, IsAskedForAgainAfterFailures) {
   World w({}, 2, 3);
   int asks = 0;
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -149,6 +149,8 @@
   EXPECT_EQ(s.figure("calls.pay.success"), 1);
   EXPECT_EQ(s.figure("calls.pay.busy"), 1);
   EXPECT_EQ(s.figure("calls.pay.failure"), 2);
+  EXPECT_EQ(s.figure("calls.pay.rejected.deadline"), 1);
+  EXPECT_EQ(s.figure("calls.pay.rejected.not_repeatable"), 1);
   EXPECT_EQ(s.figure("calls.view.failure"), 1);
   EXPECT_EQ(s.figure("backend_calls"), 3);
   EXPECT_EQ(s.figure("inflight"), 0);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -96,6 +96,37 @@
   }
 }
 
+// Thirty leave at once with their requests out; a tenth of a second later the server turns all of them away,
+// so that each might go to the other one. None does; of thirty that stay, they do.
+TEST(Endings, OfThirtyThatLeaveAtOnceNoneIsSentOnATenthOfASecondLater) {
+  for (bool cancelling : {true, false})
+    for (bool leave : {true, false}) {
+      Door second;
+      Service s(with(cancelling, R"(,"stage":1,"stages":["front","pay"])"));
+      auto d = s.discovery.open();
+      d.hear();
+      std::vector<Peer> clients, attempts;
+      for (int i = 0; i < 30; ++i) {
+        clients.push_back(s.connect());
+        clients.back().say(visit("/pay"));
+        attempts.push_back(s.upstreams[0].open());
+        attempts.back().hear();
+      }
+      auto line = listing(2, false, {host(1, second.address()), R"({"host":"mark","health":"odd"})"}) + "\n";
+      d.say(sized("HTTP/1.1 200 OK", line + std::string(9, '\n')));
+      s.logged("mark: unknown health");
+      for (auto& client : clients)
+        if (leave) client.close();
+      pass(Clock::now() + ms(100));
+      for (auto& up : attempts) up.say(rejected);
+      for (int i = 0; i < 3; ++i) EXPECT_EQ(s.ask("/-/ready"), 200);
+      if (leave)
+        EXPECT_FALSE(second.dialled());
+      else
+        EXPECT_TRUE(soon([&] { return second.dialled(); }));
+    }
+}
+
 TEST(Endings, AVisitThatWaitsForProbesIsNotSentOnceItsClientHasLeft) {
   for (bool cancelling : {true, false}) {
     Service s(with(cancelling, R"(,"replicas_of_me":400,"limits":{"probes":true,"max_backend_fetches":3},)"
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -261,6 +261,7 @@
   std::function<Gauge(int)> gauge_of;  // the load that answers carry
   std::function<Gauge(int)> look_of;   // that probes carry; nothing: the probe fails
   std::map<int, Answer::Kind> finals;
+  std::map<int, Reason> reasons;
   double advised = 0;  // by the last bounce
 
  private:
@@ -282,6 +283,7 @@
     } else if (a.kind == Answer::bounce || a.kind == Answer::error) {
       check.answered(id, a.kind, now);
       finals[id] = a.kind;
+      reasons[id] = a.reason;
       advised = a.retry_after;
     }
     for (int n = 0; n < most_fetches; ++n)
