Overload at the start is seen again: what slows all classes is no class's usual

Cause: usual_of() learned each class's time against the tier's latest one; while a tier fills after its start the first answers' gain is large, so that the common slowing went into the classes' usual times and out of late_took. Change: from a class's sixth answer on a step of its usual time is taken back evenly from all known classes. A time of 0 ms can't make it 0.

--- a/src/brain/brain.cpp
+++ b/src/brain/brain.cpp
@@ -1,6 +1,5 @@
-// meadowgauge's decisions, all of them, with every constant one of them rests on.
-// The interface is defined in brain.hpp; docs/design.md gives the reasons. The mechanism is the caller-side
-// throttle over ten seconds of outcomes, then the idle-first pick.
+// meadowgauge's decisions, all of them, with every constant one of them rests on; docs/design.md gives the
+// reasons. The mechanism is the caller-side throttle over ten seconds of outcomes, then the idle-first pick.
 
 #include "brain/brain.hpp"
 
@@ -42,10 +41,10 @@
 constexpr double room_times = 1.35;      // the tier's calm time
 constexpr double calm_drift_ms = 60000;  // how slowly the calm time follows a tier that grows slower
 constexpr double calm_gain = 0.008, room_gain = 0.04;  // the latter of what follows the load
-constexpr double calm_hold = 0.05;   // share of visits the bound turns away that holds the calm time
-constexpr int calm_after = 20;       // answers before the calm time means anything
-constexpr double room_chance = 1.2;  // roots of the usual number
-constexpr double crowd_times = 0.8;  // over the bound by this share, nothing is left to chance
+constexpr double calm_hold = 0.05;  // share of visits the bound turns away that holds the calm time
+constexpr int calm_after = 20, usual_after = 5;  // answers before the calm time, the usual one are known
+constexpr double room_chance = 1.2;              // roots of the usual number
+constexpr double crowd_times = 0.8;              // over the bound by this share, nothing is left to chance
 constexpr double mean_from = 0.75, mean_span = 0.5;  // of what is no crowd: there the mean out uses up chance
 constexpr double room_util = 0.6, room_util_most = 2;  // a tier less busy has as much more room, up to this
 // Of many instances each may pass so many times that chance, while the tier is less busy than this.
@@ -579,7 +578,6 @@
     return expected(v, be, now) > part_of(v) * prefix(v).target;
   }
 
-  // The one of the servers just looked at that is done soonest; by chance among equals.
   int seen_least(double now) {
     int least = -1, equal = 0;
     double cost = never;
@@ -702,7 +700,6 @@
     be.word_at = now;
   }
 
-  // The middle of what words say: a few long queues are not what is usual.
   void usually(const Be& be, double when, double now) {
     if (now - when > word_fade_ms) return;
     usual_at = std::max(usual_at, when);
@@ -890,10 +887,16 @@
     mean += (mean > 0 ? gain : 1) * (sample - mean);
   }
 
-  // Times count in terms of their class, or another mix of classes looks like a slower tier.
+  // Times count in terms of their class, or another mix looks like a slower tier. What all have in common
+  // stays out of it: a start into overload passed for usual, and servers were overdriven.
   double usual_of(Prefix& p, double took) {
-    if (late_took > 0 && prefixes.size() > 1)
-      p.usual += std::max(calm_gain, 1.0 / ++p.answers) * (took / late_took - p.usual);
+    if (late_took == 0 || prefixes.size() < 2) return p.usual;
+    double ratio = std::max(took, 0.01) / late_took / p.usual, known = 0;
+    double step = 1 + std::max(calm_gain, 1.0 / ++p.answers) * (ratio - 1);
+    p.usual *= step;
+    for (const auto& q : prefixes) known += q.answers > usual_after;
+    for (auto& q : prefixes)
+      if (p.answers > usual_after && q.answers > usual_after) q.usual /= std::pow(step, 1 / known);
     return p.usual;
   }
 
@@ -948,7 +951,6 @@
     return p;
   }
 
-  // To do it twice costs the tier little.
   [[nodiscard]] bool is_short(const Visit& v) {
     return prefix(v).answers >= calm_after && prefix(v).usual < short_share * mean_usual;
   }
