Discovery: calls counted by outcome, time to the first call and list logged

Neither log nor metric told a late first call from calls that discovery refused. Change: DiscoveryCallCounters; one info line with the first list; balancer.discovery_* in DUMP.

--- a/src/admin/commands.cpp
+++ b/src/admin/commands.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
+#include <optional>
 
 namespace meadowgauge::admin {
 
@@ -48,6 +50,21 @@
   }
 }
 
+// -1: not yet.
+std::string format_delay(const std::optional<double>& delay_ms) {
+  return std::to_string(delay_ms ? std::lround(*delay_ms) : -1);
+}
+
+void append_discovery(std::string& text, const proxy::DiscoveryCallCounters& discovery) {
+  append_metric(text, "discovery_calls", discovery.calls, counter);
+  append_metric(text, "discovery_lists", discovery.lists, counter);
+  append_metric(text, "discovery_refused", discovery.refused, counter);
+  append_metric(text, "discovery_timed_out", discovery.timed_out, counter);
+  append_metric(text, "discovery_failed", discovery.failed, counter);
+  append_metric(text, "discovery_first_call_ms", format_delay(discovery.first_call_after_ms), gauge);
+  append_metric(text, "discovery_first_list_ms", format_delay(discovery.first_list_after_ms), gauge);
+}
+
 // Prints ten significant digits, so that counters of a fleet stay whole numbers up to 10^10.
 std::string format_number(double value) {
   std::array<char, 32> text{};
@@ -101,6 +118,7 @@
   append_metric(text, "inflight", requests.in_flight, gauge);
   append_metric(text, "hosts_listed", metrics.listed, gauge);
   append_metric(text, "hosts_down", metrics.down, gauge);
+  append_discovery(text, metrics.discovery);
   append_metric(text, "reconfig_ok", metrics.reloads, counter);
   append_metric(text, "reconfig_failed", metrics.reloads_failed, counter);
   for (const auto& [name, value] : metrics.fleet) append_metric(text, name, format_number(value), gauge);
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -174,6 +174,7 @@
           .attempts = upstreams_.requests_sent(),
           .listed = upstreams_.endpoints().listed_count(),
           .down = static_cast<std::size_t>(policy_.unavailable_endpoints(now_ms_)),
+          .discovery = discovery_.counters(),
           .reloads = reloads_,
           .reloads_failed = reloads_failed_};
 }
--- a/src/proxy/discovery/client.cpp
+++ b/src/proxy/discovery/client.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cmath>
+#include <string>
 #include <utility>
 
 #include "protocol/http_writer.hpp"
@@ -45,6 +47,7 @@
       last_version_(last_version),
       log_(std::move(log)),
       pacing_(terms, seed),
+      started_at_ms_(parts.now_ms),
       response_(parts.pool, Message::Kind::response, Message::Body::endless) {}
 
 DiscoveryClient::~DiscoveryClient() = default;
@@ -77,6 +80,8 @@
 
 void DiscoveryClient::connect() {
   if (!agent_) return;
+  ++counters_.calls;
+  if (!counters_.first_call_after_ms) counters_.first_call_after_ms = now_ms_ - started_at_ms_;
   auto fd = Stream::dial(*agent_);
   if (!fd) return fail(DiscoveryError::connect_failed, {.system_error = errno});
   stream_ = std::make_unique<Stream>(loop_, pool_, std::move(fd), *this);
@@ -195,6 +200,7 @@
 
 void DiscoveryClient::list_received(protocol::EndpointList&& list) {
   for (const auto& reason : list.skipped) log_skipped_entry(list.seq, reason);
+  count_list();
   pacing_.record_success();
   renew_at_ms_ = now_ms_ + pacing_.silence_limit_ms();
   // A version below the requested one shows that the new agent counts its own versions.
@@ -249,6 +255,7 @@
 }
 
 void DiscoveryClient::fail(DiscoveryError error, const DiscoveryErrorDetail& detail) {
+  counters_.count(error);
   log_failure(error, detail);
   close();
   // A complete list that fails must not delay the watch on changes.
@@ -260,6 +267,31 @@
   updates_.emplace_back(WatchFailed{});
 }
 
+void DiscoveryClient::count_list() {
+  ++counters_.lists;
+  if (counters_.first_list_after_ms) return;
+  counters_.first_list_after_ms = now_ms_ - started_at_ms_;
+  log_first_list();
+}
+
+// Tells a late first call from calls that discovery did not serve.
+void DiscoveryClient::log_first_list() const {
+  if (!log_.wants(Level::info)) return;
+  double call_ms = counters_.first_call_after_ms.value_or(0);
+  double list_ms = *counters_.first_list_after_ms;
+  log_(Level::info,
+       "discovery: first list " + std::to_string(std::lround(list_ms)) + " ms after the start, first call " +
+           std::to_string(std::lround(call_ms)) + " ms after it; calls refused: " +
+           std::to_string(counters_.refused) + ", timed out: " + std::to_string(counters_.timed_out) +
+           ", failed: " + std::to_string(counters_.failed),
+       {{"first_list_ms", list_ms},
+        {"first_call_ms", call_ms},
+        {"calls", static_cast<double>(counters_.calls)},
+        {"refused", static_cast<double>(counters_.refused)},
+        {"timed_out", static_cast<double>(counters_.timed_out)},
+        {"failed", static_cast<double>(counters_.failed)}});
+}
+
 // Only the first failure in a row is logged at info.
 void DiscoveryClient::log_failure(DiscoveryError error, const DiscoveryErrorDetail& detail) const {
   Level level = pacing_.failed_before() ? Level::debug : Level::info;
--- a/src/proxy/discovery/client.hpp
+++ b/src/proxy/discovery/client.hpp
@@ -12,6 +12,7 @@
 #include "protocol/endpoint_list.hpp"
 #include "protocol/http.hpp"
 #include "protocol/watch_reader.hpp"
+#include "proxy/discovery/call_counters.hpp"
 #include "proxy/discovery/error.hpp"
 #include "proxy/discovery/watch_pacing.hpp"
 #include "proxy/logger.hpp"
@@ -59,6 +60,7 @@
 
   // Updates in order of arrival; the caller empties the list.
   [[nodiscard]] std::vector<DiscoveryUpdate>& updates() { return updates_; }
+  [[nodiscard]] const DiscoveryCallCounters& counters() const { return counters_; }
 
  private:
   enum class Call : std::uint8_t { complete_list, watch };
@@ -88,7 +90,9 @@
   void close();
   void reconnect();
   void fail(DiscoveryError error, const DiscoveryErrorDetail& detail = {});
+  void count_list();
   void log_failure(DiscoveryError error, const DiscoveryErrorDetail& detail) const;
+  void log_first_list() const;
   void log_skipped_entry(std::int64_t version, const std::string& reason) const;
 
   transport::Loop& loop_;
@@ -99,6 +103,8 @@
   std::int64_t last_version_;
   Logger log_;
   WatchPacing pacing_;
+  DiscoveryCallCounters counters_;
+  double started_at_ms_;
 
   std::unique_ptr<transport::Stream> stream_;
   std::vector<std::unique_ptr<transport::Stream>> closed_;
--- a/src/proxy/metrics.hpp
+++ b/src/proxy/metrics.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "policy/policy.hpp"
+#include "proxy/discovery/call_counters.hpp"
 
 namespace meadowgauge::proxy {
 
@@ -43,6 +44,7 @@
   std::uint64_t attempts = 0;                // with the request written completely
   std::size_t listed = 0;                    // endpoints
   std::size_t down = 0;                      // endpoints
+  DiscoveryCallCounters discovery;
   std::uint64_t reloads = 0;
   std::uint64_t reloads_failed = 0;
   std::vector<std::pair<std::string, double>> fleet{};  // empty without a fleet
