Polled lists: a new process serves nothing before discovery's first list

Cause: a process started with its configured list, which may be of any age, and first called discovery up to 3.3 s later. What discovery published 6 s before binds meanwhile; a process cannot know how long it was down. Fix: InitialList, a state machine of values. awaited: /-/ready 503, requests 503 with Retry-After. A list lets the process serve; so does a discovery that gives no response at all (changes bind after its return) and 8 s without a list. A second process beside a serving one does not take over before that. Pushed lists: unchanged.

--- a/src/hot_restart/takeover.cpp
+++ b/src/hot_restart/takeover.cpp
@@ -29,13 +29,15 @@
     : peers_(peers), started_at_ms_(now_ms), saved_at_ms_(now_ms), replaces_another_(peers.total() > 0) {}
 
 // A process without peers has nothing to wait for: the one it replaces has ended.
-bool Takeover::is_due(bool endpoints_known, double now_ms) const {
+bool Takeover::is_due(bool endpoints_known, bool may_serve, double now_ms) const {
   if (peers_.total() == 0) return true;
   double waited_ms = now_ms - started_at_ms_;
-  return waited_ms >= peers_see_after_ms && (endpoints_known || waited_ms >= max_wait_for_endpoints_ms);
+  if (waited_ms < peers_see_after_ms) return false;
+  return endpoints_known || (may_serve && waited_ms >= max_wait_for_endpoints_ms);
 }
 
-TakeoverActions Takeover::update(const PeerProcesses& peers, bool endpoints_known, double now_ms) {
+TakeoverActions Takeover::update(const PeerProcesses& peers, bool endpoints_known, double now_ms,
+                                 bool may_serve) {
   TakeoverActions actions;
   bool count_changed = peers.total() != peers_.total();
   bool older_changed = peers.older != peers_.older;
@@ -44,7 +46,7 @@
   actions.set_share = updated_ ? count_changed : peers.total() > 0;
   actions.share = 1.0 / (1 + peers.total());
   updated_ = true;
-  if (state_ == State::waiting && is_due(endpoints_known, now_ms)) {
+  if (state_ == State::waiting && is_due(endpoints_known, may_serve, now_ms)) {
     state_ = State::serving;
     actions.listen = true;
   }
--- a/src/hot_restart/takeover.hpp
+++ b/src/hot_restart/takeover.hpp
@@ -58,8 +58,10 @@
 
   // The process starts at `now_ms` beside `peers`.
   Takeover(const PeerProcesses& peers, double now_ms);
-  // To be called periodically. `endpoints_known`: discovery has answered since the start.
-  TakeoverActions update(const PeerProcesses& peers, bool endpoints_known, double now_ms);
+  // To be called periodically. `endpoints_known`: discovery has answered since the start. `may_serve`: the
+  // configured endpoints may be used until it has.
+  TakeoverActions update(const PeerProcesses& peers, bool endpoints_known, double now_ms,
+                         bool may_serve = true);
   // This process must end: it cancels its start, or serves until a newer process does.
   void end();
 
@@ -79,7 +81,7 @@
     handed_over,  // a newer process serves; completes its requests in flight
     cancelled     // ends without having served
   };
-  [[nodiscard]] bool is_due(bool endpoints_known, double now_ms) const;
+  [[nodiscard]] bool is_due(bool endpoints_known, bool may_serve, double now_ms) const;
 
   State state_ = State::waiting;
   PeerProcesses peers_;
--- a/src/program/admin_service.cpp
+++ b/src/program/admin_service.cpp
@@ -59,7 +59,7 @@
 void AdminService::advance_takeover() {
   auto others = shared_.locks.scan();
   double now_ms = clock_.now();
-  auto actions = takeover_.update(others, balancer_.endpoint_list_received(), now_ms);
+  auto actions = takeover_.update(others, balancer_.endpoint_list_received(), now_ms, balancer_.may_serve());
   if (actions.set_share) balancer_.limit_to_share(actions.share);
   if (actions.listen) {
     balancer_.listen();
--- a/src/program/serve.cpp
+++ b/src/program/serve.cpp
@@ -65,7 +65,7 @@
 
   // Returns when a graceful shutdown has ended.
   void run() {
-    log_address(balancer_.ready() ? "listening on " : "waiting to listen on ", balancer_.address());
+    log_address(balancer_.listening() ? "listening on " : "waiting to listen on ", balancer_.address());
     balancer_.run();
     log_(Level::info, "ended");
   }
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -43,6 +43,7 @@
       endpoints_(proxy_settings_, upstreams_, policy_, log_),
       shutdown_(
           {.max_client_timeout_ms = proxy_settings_.max_client_timeout_ms(), .drain_ms = setup.leave_ms}),
+      initial_list_(setup.discovery && !watch_terms(setup.settings, {}).push_grace_ms, now_ms_),
       requests_({.settings = proxy_settings_,
                  .now_ms = now_ms_,
                  .due_times = due_,
@@ -51,6 +52,7 @@
                  .downstream = downstream_,
                  .endpoints = endpoints_,
                  .shutdown = shutdown_,
+                 .initial_list = initial_list_,
                  .counters = counters_},
                 log_),
       settings_(setup.settings),
@@ -83,11 +85,12 @@
   bool idle = !requests_.has_commands() && upstreams_.events().empty() && downstream_.events().empty() &&
               discovery_.updates().empty();
   if (!idle) return 0;
-  return std::min({due_.next(), tick_at_ms_, shutdown_.next_due_ms()}) - now_ms_;
+  return std::min({due_.next(), tick_at_ms_, shutdown_.next_due_ms(), initial_list_.next_due_ms()}) - now_ms_;
 }
 
 void Balancer::gather_events() {
   apply_watch_events();
+  log_initial_list(initial_list_.time_passed(now_ms_));
   // Outcomes first: the capacity that they free serves the new requests.
   for (auto& event : std::exchange(upstreams_.events(), {})) requests_.upstream_event(event);
   apply_due_times();
@@ -99,15 +102,25 @@
   for (auto& update : std::exchange(discovery_.updates(), {})) {
     auto* list = std::get_if<protocol::EndpointList>(&update);
     if (!list) {
+      log_initial_list(initial_list_.call_failed(std::get<WatchFailed>(update).error));
       endpoints_.watch_failed(now_ms_);
       continue;
     }
     endpoint_list_received_ = true;
+    log_initial_list(initial_list_.list_received());
     endpoints_.receive(std::move(*list), now_ms_);
     requests_.endpoints_updated();
   }
 }
 
+void Balancer::log_initial_list(std::optional<InitialList::State> former) const {
+  if (!former) return;
+  auto old_state = InitialList::name_of(*former);
+  auto new_state = InitialList::name_of(initial_list_.state());
+  log_(Level::info, std::string("initial endpoint list: ").append(old_state).append(" -> ").append(new_state),
+       {{"old_state", old_state}, {"new_state", new_state}});
+}
+
 void Balancer::apply_due_times() {
   while (auto key = due_.first(now_ms_)) {
     switch (transport::kind_of(*key)) {
@@ -192,10 +205,15 @@
   if (setup.discovery)
     endpoints_.discovery_changed();
   else
-    endpoints_.replace(setup.known, now_ms_);
+    replace_endpoint_list(setup.known);
   requests_.endpoints_updated();
 }
 
+void Balancer::replace_endpoint_list(const protocol::EndpointList& list) {
+  endpoints_.replace(list, now_ms_);
+  log_initial_list(initial_list_.list_received());
+}
+
 // --- Takeover and shutdown -------------------------------------------------------------------------------
 
 void Balancer::take_new_connections(int others) {
--- a/src/proxy/balancer.hpp
+++ b/src/proxy/balancer.hpp
@@ -13,6 +13,7 @@
 #include "policy/policy.hpp"
 #include "protocol/endpoint_list.hpp"
 #include "proxy/discovery/client.hpp"
+#include "proxy/discovery/initial_list.hpp"
 #include "proxy/downstream/connections.hpp"
 #include "proxy/endpoint/directory.hpp"
 #include "proxy/graceful_shutdown.hpp"
@@ -65,7 +66,10 @@
   // Sets a filter that each request passes before the policy; it outlives the balancer. Null: no filter.
   void set_request_filter(RequestFilter* filter);
 
-  [[nodiscard]] bool ready() const { return shutdown_.serving() && downstream_.listening(); }
+  [[nodiscard]] bool ready() const { return shutdown_.serving() && listening() && may_serve(); }
+  // False while a new process awaits its first endpoint list and rejects all requests.
+  [[nodiscard]] bool may_serve() const { return initial_list_.may_serve(); }
+  [[nodiscard]] bool listening() const { return downstream_.listening(); }
   // True once discovery has sent an endpoint list, or without discovery.
   [[nodiscard]] bool endpoint_list_received() const { return endpoint_list_received_; }
   void listen() { downstream_.listen(); }
@@ -93,7 +97,9 @@
   [[nodiscard]] double wait_ms();
   void gather_events();
   void apply_watch_events();
+  void log_initial_list(std::optional<InitialList::State> former) const;
   void apply_due_times();
+  void replace_endpoint_list(const protocol::EndpointList& list);
   void tick();
   void advance_shutdown();
   void log_shutdown_begun(bool has_served) const;
@@ -114,6 +120,7 @@
   DiscoveryClient discovery_;
   EndpointDirectory endpoints_;
   GracefulShutdown shutdown_;
+  InitialList initial_list_;
   RequestForwarder requests_;
 
   Settings settings_;
--- a/src/proxy/discovery/client.cpp
+++ b/src/proxy/discovery/client.cpp
@@ -264,7 +264,7 @@
     complete_list_at_ms_ = now_ms_ + pacing_.complete_list_delay_ms();
   }
   set_deadline_in(pacing_.backoff_ms(detail.retry_after_ms));
-  updates_.emplace_back(WatchFailed{});
+  updates_.emplace_back(WatchFailed{error});
 }
 
 void DiscoveryClient::count_list() {
--- a/src/proxy/discovery/client.hpp
+++ b/src/proxy/discovery/client.hpp
@@ -22,7 +22,9 @@
 namespace meadowgauge::proxy {
 
 // A call failed, was refused or timed out, or the watch ended.
-struct WatchFailed {};
+struct WatchFailed {
+  DiscoveryError error;
+};
 using DiscoveryUpdate = std::variant<protocol::EndpointList, WatchFailed>;
 
 // Makes one call at a time on one connection: for the complete list, or for the watch on changes. Times are
--- a/src/proxy/request/admission.cpp
+++ b/src/proxy/request/admission.cpp
@@ -20,6 +20,8 @@
 
 constexpr std::uint32_t max_stated_budget_ms = 3600000;
 constexpr double max_budget_ms = 1e7;
+// Most restarted processes have their first list after this time.
+constexpr double endpoints_unknown_retry_after_ms = 1000;
 
 // A request with an unreadable budget is refused; the class's default is for requests that state none.
 bool budget_readable(const Message& message) {
@@ -85,15 +87,14 @@
     case RefusalReason::fleet_limit:
       return 429;
     case RefusalReason::at_capacity:
+    case RefusalReason::endpoints_unknown:
       return 503;
     default:
       return 400;
   }
 }
 
-bool Refusal::closes_connection() const {
-  return reason != RefusalReason::at_capacity && reason != RefusalReason::fleet_limit;
-}
+bool Refusal::closes_connection() const { return status() != 429 && status() != 503; }
 
 int RequestAdmission::class_of(std::string_view path) const {
   auto name = protocol::first_segment(path);
@@ -121,6 +122,8 @@
   if (auto reason = malformed(message, rules, context.unanswered_ids)) return refuse(*reason);
   // Checked before the policy is asked: there is no capacity to hold the request.
   if (context.at_capacity) return refuse(RefusalReason::at_capacity);
+  if (context.endpoints_unknown)
+    return refuse(RefusalReason::endpoints_unknown, endpoints_unknown_retry_after_ms);
   auto info = protocol::read_request_hints(message.find(names::request_hints));
   AdmittedRequest request{.request_class = request_class,
                           .tenant = tenant_of(message),
--- a/src/proxy/request/admission.hpp
+++ b/src/proxy/request/admission.hpp
@@ -57,7 +57,8 @@
   idempotency_key_mismatch,  // missing where the class requires a key, or present where it forbids one
   unreadable_budget,
   at_capacity,
-  fleet_limit  // a fleet-wide limit is exhausted
+  endpoints_unknown,  // no endpoint list since the start of the process
+  fleet_limit         // a fleet-wide limit is exhausted
 };
 
 struct Refusal {
@@ -79,6 +80,7 @@
   // The ids of unanswered requests.
   const std::unordered_set<std::string_view>& unanswered_ids;
   bool at_capacity = false;
+  bool endpoints_unknown = false;
   RequestFilter* fleet_limits = nullptr;  // null: no fleet-wide limits
 };
 
--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -54,6 +54,7 @@
       downstream_(parts.downstream),
       endpoints_(parts.endpoints),
       shutdown_(parts.shutdown),
+      initial_list_(parts.initial_list),
       counters_(parts.counters),
       log_(std::move(log)),
       admission_(settings_.request_classes, settings_.tenants),
@@ -78,9 +79,10 @@
 void RequestForwarder::request_received(DownstreamEvent& event) {
   bool at_capacity = static_cast<double>(in_flight_.size()) >= settings_.max_in_flight ||
                      unanswered_.size() >= downstream_.max_served();
-  auto result = admission_.admit(
-      *event.message,
-      {.unanswered_ids = unanswered_ids_, .at_capacity = at_capacity, .fleet_limits = request_filter_});
+  auto result = admission_.admit(*event.message, {.unanswered_ids = unanswered_ids_,
+                                                  .at_capacity = at_capacity,
+                                                  .endpoints_unknown = !initial_list_.may_serve(),
+                                                  .fleet_limits = request_filter_});
   if (std::holds_alternative<LocalPathRequest>(result)) return respond_to_local_path(event);
   if (const auto* refusal = std::get_if<Refusal>(&result)) return refuse(event.client, *refusal);
   dispatch(event, std::get<AdmittedRequest>(result));
@@ -90,6 +92,8 @@
   downstream_.set_request_class(event.client, -1);
   auto path = protocol::path_of(event.message->target());
   if (path != names::local_ready) return downstream_.respond(event.client, 404, "", "");
+  if (shutdown_.serving() && !initial_list_.may_serve())
+    return downstream_.respond(event.client, 503, "", "no endpoint list\n");
   if (shutdown_.serving()) return downstream_.respond(event.client, 200, "", "ready\n");
   downstream_.respond(event.client, 503, "", "ending\n");
 }
--- a/src/proxy/request/forwarder.hpp
+++ b/src/proxy/request/forwarder.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "policy/policy.hpp"
+#include "proxy/discovery/initial_list.hpp"
 #include "proxy/downstream/connections.hpp"
 #include "proxy/endpoint/directory.hpp"
 #include "proxy/graceful_shutdown.hpp"
@@ -37,6 +38,7 @@
     DownstreamConnections& downstream;
     const EndpointDirectory& endpoints;
     const GracefulShutdown& shutdown;
+    const InitialList& initial_list;
     RequestCounters& counters;
   };
 
@@ -166,6 +168,7 @@
   DownstreamConnections& downstream_;
   const EndpointDirectory& endpoints_;
   const GracefulShutdown& shutdown_;
+  const InitialList& initial_list_;
   RequestCounters& counters_;
   Logger log_;
   RequestAdmission admission_;
--- /dev/null
+++ b/tests/e2e/initial_list_test.cpp
@@ -0,0 +1,70 @@
+// A process that starts where endpoint lists are polled: its configured list may name endpoints that drained
+// or left long ago. The verdict is what the upstreams received.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fixtures/discovery_stand_in.hpp"
+#include "fixtures/http_messages.hpp"
+#include "fixtures/proxy_process.hpp"
+#include "fixtures/waiting.hpp"
+
+namespace meadowgauge::test {
+namespace {
+
+const std::string polled_lists = R"(,"discovery":"subscribe")";
+
+int status_of_request(const ProxyProcess& proxy) {
+  auto client = proxy.connect();
+  client.send(http_request("/pay"));
+  return status_of(client.receive_message());
+}
+
+// Guards against requests to endpoints that drained or left while the process was down.
+TEST(InitialEndpointList, NoRequestIsSentBeforeDiscoverysFirstList) {
+  ProxyProcess proxy({.upstreams = 2, .settings = polled_lists});
+  auto call = proxy.discovery.accept();
+  EXPECT_EQ(proxy.get_status("/-/ready"), 503);
+  auto client = proxy.connect();
+  client.send(http_request("/pay"));
+  auto rejection = client.receive_message();
+  EXPECT_EQ(status_of(rejection), 503);
+  EXPECT_NE(rejection.find("Retry-After: "), std::string::npos);
+  call.receive_message();
+  call.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  publish(call, endpoint_list(9, true, {endpoint_entry(1, proxy.upstreams[1].address())}));
+  proxy.wait_for_log("initial endpoint list: awaited -> received");
+  EXPECT_EQ(proxy.get_status("/-/ready"), 200);
+  client.send(http_request("/pay"));  // on the connection of the rejected request
+  auto upstream = accept_and_respond(proxy.upstreams[1], ok_response);
+  EXPECT_EQ(status_of(client.receive_message()), 200);
+  EXPECT_FALSE(proxy.upstreams[0].has_pending_connection());
+}
+
+// Discovery is overloaded: it says so, and what it published binds.
+TEST(InitialEndpointList, ARefusedCallDoesNotLetRequestsPass) {
+  ProxyProcess proxy({.upstreams = 1, .settings = polled_lists});
+  for (int i = 0; i < 2; ++i) {
+    auto call = proxy.discovery.accept();
+    call.receive_message();
+    call.send(http_message("HTTP/1.1 503 Service Unavailable", ""));
+    EXPECT_EQ(status_of_request(proxy), 503);
+  }
+  EXPECT_EQ(proxy.get_status("/-/ready"), 503);
+  EXPECT_FALSE(proxy.upstreams[0].has_pending_connection());
+}
+
+// Discovery is down: what it publishes binds only after its return, so the configured list is used meanwhile.
+TEST(InitialEndpointList, TheConfiguredListServesWhileDiscoveryIsUnreachable) {
+  ProxyProcess proxy({.upstreams = 1, .settings = polled_lists});
+  auto call = proxy.discovery.accept();  // and no response
+  proxy.wait_for_log("initial endpoint list: awaited -> unreachable");
+  EXPECT_EQ(proxy.get_status("/-/ready"), 200);
+  auto client = proxy.connect();
+  client.send(http_request("/pay"));
+  auto upstream = accept_and_respond(proxy.upstreams[0], ok_response);
+  EXPECT_EQ(status_of(client.receive_message()), 200);
+}
+
+}  // namespace
+}  // namespace meadowgauge::test
