Polled lists: each balancer of a large fleet calls discovery at its place in a frame

Cause: after an outage calls came at random, each balancer every 4.5 s in the mean, 59 a second from 266, and those of 140 restarted processes on top. Discovery hands out 50 lists a second; once a call waits 2 s it is answered 503 and still costs its work, so for seconds nobody gets a list. Calls made during the outage are never answered. Fix: a frame of 40 ms a balancer, 5 s at most; after a repeated failure and at a start a call is made at the balancer's place in it (my_number and stage), so that a successor takes its predecessor's place and the sum is bounded. A call that follows a random first backoff is drawn so that none is over a frame after the last. BackoffStaysBelowTheBoundForChanges counts from one call to the next, as a place is not drawn anew; same bound.

--- a/src/proxy/discovery/client.cpp
+++ b/src/proxy/discovery/client.cpp
@@ -54,7 +54,7 @@
 
 void DiscoveryClient::start() {
   if (!agent_) return;
-  double delay_ms = pacing_.first_call_ms();
+  double delay_ms = pacing_.first_call_ms(now_ms_);
   if (delay_ms <= 0) return connect();
   set_deadline_in(delay_ms);
 }
@@ -80,6 +80,7 @@
 
 void DiscoveryClient::connect() {
   if (!agent_) return;
+  called_at_ms_ = now_ms_;
   ++counters_.calls;
   if (!counters_.first_call_after_ms) counters_.first_call_after_ms = now_ms_ - started_at_ms_;
   auto fd = Stream::dial(*agent_);
@@ -263,7 +264,8 @@
     call_ = Call::watch;
     complete_list_at_ms_ = now_ms_ + pacing_.complete_list_delay_ms();
   }
-  set_deadline_in(pacing_.backoff_ms(detail.retry_after_ms));
+  set_deadline_in(pacing_.backoff_ms(
+      {.called_at_ms = called_at_ms_, .failed_at_ms = now_ms_, .retry_after_ms = detail.retry_after_ms}));
   updates_.emplace_back(WatchFailed{error});
 }
 
--- a/src/proxy/discovery/watch_pacing.cpp
+++ b/src/proxy/discovery/watch_pacing.cpp
@@ -33,12 +33,16 @@
 constexpr double max_backoff_ms = change_binds_ms - polled_answer_limit_ms - answer_takes_ms;
 // Polled: a whole fleet loses its watches together and returns at one call per this time.
 constexpr double fleet_call_interval_ms = 20;
-// Smaller fleets make their first call at once.
+// Smaller fleets make their first call at once, and use no frames.
 constexpr double staggered_fleet_size = 25;  // balancers
-// After this many consecutive failures the fleet may exceed discovery's capacity. The backoff then grows
-// beyond max_backoff_ms so that discovery's queue can drain.
+// A frame has this time per balancer, twice what discovery needs: it also sends changes on the open watches.
+constexpr double frame_interval_ms = 40;
+// The last call of a frame that begins with discovery's return is answered before changes bind.
+constexpr double max_frame_ms = change_binds_ms - 2 * answer_takes_ms;
+// After this many consecutive failures the fleet may exceed discovery's capacity. The frame then grows beyond
+// max_frame_ms so that discovery's queue can drain.
 constexpr int min_overload_failures = 6;
-constexpr double overload_spread_multiplier = 1.5;  // of fleet_call_interval_ms times instances
+constexpr double overload_interval_ms = 30;  // per balancer
 constexpr int max_counted_failures = 10;
 
 // Polled: a reload moves a whole fleet at once; discovery may spend this per balancer on complete lists,
@@ -55,14 +59,20 @@
 WatchTerms watch_terms(const Settings& settings, const Logger& log) {
   using setting_values::number;
   if (setting_values::string_value(settings, "discovery") != "subscribe")
-    return {.push_grace_ms = number(settings, "rules.stop_sending_within_ms", 250, log)};
+    return {.push_grace_ms = number(settings, "rules.stop_sending_within_ms", 250, log), .place = {}};
   auto tiers = setting_values::split_list(setting_values::string_value(settings, "stages")).size();
   double instances_of_tier = std::max(1.0, number(settings, "replicas_of_me", 1));
-  return {.push_grace_ms = {}, .instances = std::max(1.0, static_cast<double>(tiers)) * instances_of_tier};
+  double all_tiers = std::max(1.0, static_cast<double>(tiers));
+  double tier_offset = number(settings, "stage", 0) / all_tiers;
+  return {.push_grace_ms = {},
+          .instances = all_tiers * instances_of_tier,
+          .place = (number(settings, "my_number", 0) + tier_offset) / instances_of_tier};
 }
 
 WatchPacing::WatchPacing(const WatchTerms& terms, std::uint64_t seed)
-    : terms_(terms), random_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {}
+    : terms_(terms), random_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
+  place_ = terms.place ? *terms.place : random_fraction();
+}
 
 double WatchPacing::answer_limit_ms() const {
   return pushed() ? pushed_answer_limit_ms : polled_answer_limit_ms;
@@ -72,34 +82,47 @@
 
 double WatchPacing::reread_limit_ms() { return spread(drain_poll_ms(), silence_spread_ratio); }
 
-double WatchPacing::first_call_ms() {
-  return pushed() || terms_.instances < staggered_fleet_size ? 0 : fleet_spread_ms() * random_fraction();
-}
+double WatchPacing::first_call_ms(double now_ms) const { return staggered() ? until_place_ms(now_ms) : 0; }
 
 double WatchPacing::complete_list_delay_ms() {
   return pushed() ? 0 : complete_list_interval_ms * terms_.instances * (0.5 + 0.5 * random_fraction());
 }
 
+// The next call follows within a frame of the failed one. Where the failed call was not at its place, the
+// place may be later than that; then the call is drawn from the time that is left.
+double WatchPacing::frame_backoff_ms(const FailedCall& call) {
+  double place_ms = until_place_ms(call.failed_at_ms);
+  double latest_ms = std::max(call.called_at_ms + frame_ms() - call.failed_at_ms, first_backoff_ms);
+  if (place_ms > latest_ms) place_ms = latest_ms * (0.5 + 0.5 * random_fraction());
+  return std::max(place_ms, std::min(call.retry_after_ms, latest_ms));
+}
+
+bool WatchPacing::staggered() const { return !pushed() && terms_.instances >= staggered_fleet_size; }
+
 double WatchPacing::fleet_spread_ms() const {
-  double spread_ms = fleet_call_interval_ms * terms_.instances;
-  if (spread_ms <= max_backoff_ms || failures_ < min_overload_failures)
-    return std::min(spread_ms, max_backoff_ms);
-  return overload_spread_multiplier * spread_ms;
+  return std::min(fleet_call_interval_ms * terms_.instances, max_backoff_ms);
+}
+
+double WatchPacing::frame_ms() const {
+  double ms = std::min(frame_interval_ms * terms_.instances, max_frame_ms);
+  return failures_ < min_overload_failures ? ms : std::max(ms, overload_interval_ms * terms_.instances);
+}
+
+double WatchPacing::until_place_ms(double now_ms) const {
+  double since_place_ms = std::fmod(now_ms - place_ * frame_ms(), frame_ms());
+  return frame_ms() - std::max(since_place_ms, 0.0);
 }
 
-double WatchPacing::backoff_ms(double retry_after_ms) {
+double WatchPacing::backoff_ms(const FailedCall& call) {
+  bool failed_before = failures_ > 0;
   double exponential_ms = first_backoff_ms * std::exp2(failures_);
-  // Balancers whose watches broke together draw from the whole spread, others from its later half.
-  bool synchronized = failures_ == 0 || failures_ >= min_overload_failures;
   failures_ = std::min(failures_ + 1, max_counted_failures);
   if (pushed()) return std::min(exponential_ms, drain_poll_ms()) * (0.75 + 0.5 * random_fraction());
-  // In a large fleet the spread dominates from the first backoff on, which bounds the call rate.
+  if (staggered() && failed_before) return frame_backoff_ms(call);
   double own_backoff_ms =
       std::min(exponential_ms, max_small_fleet_backoff_ms) * (0.75 + 0.5 * random_fraction());
-  double fleet_backoff_ms =
-      fleet_spread_ms() * (synchronized ? random_fraction() : 0.5 + 0.5 * random_fraction());
-  double max_ms = std::max(max_backoff_ms, fleet_spread_ms());
-  return std::clamp(std::max(own_backoff_ms, fleet_backoff_ms), std::min(retry_after_ms, max_ms), max_ms);
+  double backoff_ms = std::max(own_backoff_ms, fleet_spread_ms() * random_fraction());
+  return std::clamp(backoff_ms, std::min(call.retry_after_ms, max_backoff_ms), max_backoff_ms);
 }
 
 double WatchPacing::spread(double ms, double share) { return ms * (1 - share * random_fraction()); }
--- a/src/proxy/discovery/watch_pacing.hpp
+++ b/src/proxy/discovery/watch_pacing.hpp
@@ -18,13 +18,28 @@
   std::optional<double> push_grace_ms;
   // Estimated number of balancers that call the same discovery; their calls are spread.
   double instances = 1;
+  // The balancer's place among those that call the same discovery, 0 to 1, the same after a restart. Absent:
+  // drawn at random.
+  std::optional<double> place;
 };
 
 // Each tier gets an equal part of the polled calls: a balancer of a small tier carries more traffic, so it
-// calls more often.
+// calls more often. The places of a tier lie evenly, those of other tiers between them.
 WatchTerms watch_terms(const Settings& settings, const Logger& log);
 
-// Paces one watch. Deterministic for a seed.
+// A call that failed. Times are in ms of Unix time.
+struct FailedCall {
+  double called_at_ms = 0;
+  double failed_at_ms = 0;
+  double retry_after_ms = 0;  // requested by the agent, 0 for none
+};
+
+// Paces one watch. Deterministic for a seed. Times are in ms of Unix time.
+//
+// Polled: calls above discovery's capacity fill its queue until every call in it is too old to be answered.
+// Large fleets therefore divide time into frames, and a balancer calls once a frame, at its place: however
+// many balancers start or lose their watches together, the sum of their calls stays below discovery's
+// capacity. A first backoff is drawn at random, because an ordinary loss of watches leaves discovery idle.
 class WatchPacing {
  public:
   WatchPacing(const WatchTerms& terms, std::uint64_t seed);
@@ -36,10 +51,9 @@
   // Delay before an unreadable line, which may hold a drain, is requested again.
   double reread_limit_ms();
   // Delay of a new process's first call. Many start together, and the configured list serves until then.
-  double first_call_ms();
+  [[nodiscard]] double first_call_ms(double now_ms) const;
   // Records a failed call and returns the delay before the next one.
-  // `retry_after_ms`: requested by the agent, 0 for none.
-  double backoff_ms(double retry_after_ms = 0);
+  double backoff_ms(const FailedCall& call);
   // Delay of the complete list after a move to another discovery; 0 where lists are pushed.
   double complete_list_delay_ms();
   // An endpoint list was received, or the agent is new.
@@ -53,12 +67,20 @@
  private:
   // Delay within which a possible drain has to be requested again.
   [[nodiscard]] double drain_poll_ms() const;
-  // The time over which the fleet's calls are spread.
+  [[nodiscard]] bool staggered() const;
+  // The time over which the fleet's calls are spread after an ordinary loss of watches.
   [[nodiscard]] double fleet_spread_ms() const;
+  // The time in which each balancer of a large fleet calls once.
+  [[nodiscard]] double frame_ms() const;
+  // Delay of the call that follows a repeated failure of a large fleet's balancer.
+  double frame_backoff_ms(const FailedCall& call);
+  // From now until the balancer's place in a frame; above 0.
+  [[nodiscard]] double until_place_ms(double now_ms) const;
   double random_fraction();  // 0 to 1
 
   WatchTerms terms_;
   std::minstd_rand random_;
+  double place_;      // 0 to 1
   int failures_ = 0;  // consecutive
 };
 
--- a/tests/proxy/discovery/watch_pacing_test.cpp
+++ b/tests/proxy/discovery/watch_pacing_test.cpp
@@ -50,9 +50,10 @@
   std::vector<WatchPacing> fleet;
   std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
   for (int i = 0; i < instances; ++i) {
-    fleet.emplace_back(WatchTerms{.push_grace_ms = {}, .instances = static_cast<double>(instances)},
-                       seed * 1000 + static_cast<std::uint64_t>(i));
-    calls.push({fleet.back().backoff_ms(), i});
+    fleet.emplace_back(
+        WatchTerms{.push_grace_ms = {}, .instances = static_cast<double>(instances), .place = {}},
+        seed * 1000 + static_cast<std::uint64_t>(i));
+    calls.push({fleet.back().backoff_ms({}), i});
   }
   double last_answer_ms = 0;
   while (!calls.empty()) {
@@ -64,7 +65,7 @@
     if (answered)
       last_answer_ms = std::max(last_answer_ms, done_ms);
     else
-      calls.push({done_ms + pacing.backoff_ms(), balancer});
+      calls.push({done_ms + pacing.backoff_ms({.called_at_ms = at_ms, .failed_at_ms = done_ms}), balancer});
   }
   if (wasted_calls) *wasted_calls = discovery.wasted_calls;
   return last_answer_ms - outage_ms;
@@ -94,15 +95,65 @@
   }
 }
 
-// A change is unknown for at most the rest of an unanswered call, one backoff and an answer.
+// A change is unknown for at most the time from a call that it just missed to the next one, and an answer.
+// The first call that fails is not in its place in the frame.
 TEST(WatchPacing, BackoffStaysBelowTheBoundForChanges) {
   for (double instances : {1.0, 30.0, 350.0, 100000.0}) {
-    WatchPacing pacing({.push_grace_ms = {}, .instances = instances}, 1);
+    WatchPacing pacing({.push_grace_ms = {}, .instances = instances, .place = {}}, 1);
+    double called_at_ms = 0;
     for (int i = 0; i < 5; ++i) {
       double retry_after_ms = i % 2 == 0 ? 0 : 60000;
-      EXPECT_LE(pacing.answer_limit_ms() + pacing.backoff_ms(retry_after_ms) + 500, change_binds_ms);
+      double call_takes_ms = i % 3 == 0 ? pacing.answer_limit_ms() : 0;
+      double failed_at_ms = called_at_ms + call_takes_ms;
+      double backoff_ms = pacing.backoff_ms({called_at_ms, failed_at_ms, retry_after_ms});
+      EXPECT_LE(call_takes_ms + backoff_ms + 500, change_binds_ms);
+      called_at_ms = failed_at_ms + backoff_ms;
     }
-    EXPECT_LE(pacing.first_call_ms(), change_binds_ms);
+    EXPECT_LE(pacing.first_call_ms(0), change_binds_ms);
+  }
+}
+
+// Half of a fleet restarts while discovery returns from an outage. Each process that starts calls as well as
+// those whose watches broke: together they must stay below discovery's capacity, or none of them is answered.
+TEST(WatchPacing, CallsOfStartsAndOfBrokenWatchesStayBelowDiscoverysCapacity) {
+  constexpr int instances = 240;
+  constexpr double outage_ms = 8000;
+  auto replaced_at_ms = [](int number) { return outage_ms + 2000 + 12.0 * number; };
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    PolledDiscovery discovery{.call_ms = 20, .outage_start_ms = 0, .outage_end_ms = outage_ms};
+    auto terms = [](int number) {
+      return WatchTerms{.push_grace_ms = {}, .instances = instances, .place = number / double{instances}};
+    };
+    std::vector<WatchPacing> fleet;
+    std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
+    std::vector<double> started_at_ms(instances, 0);
+    for (int i = 0; i < instances; ++i) {
+      fleet.emplace_back(terms(i), seed * 1000 + static_cast<std::uint64_t>(i));
+      calls.push({fleet.back().backoff_ms({}), i});
+    }
+    // A second process with each odd number, 2 to 5 s after the outage's end.
+    for (int i = 1; i < instances; i += 2) {
+      auto process = static_cast<int>(fleet.size());
+      fleet.emplace_back(terms(i), seed * 1000 + static_cast<std::uint64_t>(process));
+      started_at_ms.push_back(replaced_at_ms(i));
+      calls.push({started_at_ms.back() + fleet.back().first_call_ms(started_at_ms.back()), process});
+    }
+    double last_answer_ms = 0;
+    while (!calls.empty()) {
+      auto [at_ms, process] = calls.top();
+      calls.pop();
+      auto index = static_cast<std::size_t>(process);
+      bool replaced = process < instances && process % 2 == 1 && at_ms >= replaced_at_ms(process);
+      if (replaced) continue;
+      auto [done_ms, answered] = discovery.call(at_ms, fleet[index].answer_limit_ms());
+      if (answered)
+        last_answer_ms = std::max(last_answer_ms, done_ms - std::max(started_at_ms[index], outage_ms));
+      else
+        calls.push(
+            {done_ms + fleet[index].backoff_ms({.called_at_ms = at_ms, .failed_at_ms = done_ms}), process});
+    }
+    EXPECT_EQ(discovery.wasted_calls, 0) << "seed " << seed;
+    EXPECT_LT(last_answer_ms, change_binds_ms) << "seed " << seed;
   }
 }
 
@@ -113,7 +164,7 @@
   for (int instances : {1, 3, 30, 350}) {
     std::vector<double> fetched_at;
     for (int i = 0; i < instances; ++i) {
-      WatchPacing pacing({.push_grace_ms = {}, .instances = static_cast<double>(instances)},
+      WatchPacing pacing({.push_grace_ms = {}, .instances = static_cast<double>(instances), .place = {}},
                          static_cast<std::uint64_t>(i) + 1);
       fetched_at.push_back(pacing.complete_list_delay_ms());
     }
@@ -124,18 +175,18 @@
     for (std::size_t i = window_calls; i < fetched_at.size(); ++i)
       EXPECT_GT(fetched_at[i] - fetched_at[i - window_calls], window_calls * complete_list_ms / 4);
   }
-  WatchPacing pushed({.push_grace_ms = 200, .instances = 350}, 1);
+  WatchPacing pushed({.push_grace_ms = 200, .instances = 350, .place = {}}, 1);
   EXPECT_EQ(pushed.complete_list_delay_ms(), 0);
 }
 
 // A small fleet calls at once. The pacing of pushed lists is independent of the fleet's size.
 TEST(WatchPacing, SmallFleetsAndPushedListsCallWithoutDelay) {
-  WatchPacing small_fleet({.push_grace_ms = {}, .instances = 3}, 1);
-  EXPECT_EQ(small_fleet.first_call_ms(), 0);
-  EXPECT_LE(small_fleet.backoff_ms(), 125);
-  WatchPacing pushed({.push_grace_ms = 200, .instances = 350}, 1);
-  EXPECT_EQ(pushed.first_call_ms(), 0);
-  for (int i = 0; i < 50; ++i) EXPECT_LE(pushed.backoff_ms(), 0.25 * 200 * 1.25);
+  WatchPacing small_fleet({.push_grace_ms = {}, .instances = 3, .place = {}}, 1);
+  EXPECT_EQ(small_fleet.first_call_ms(0), 0);
+  EXPECT_LE(small_fleet.backoff_ms({}), 125);
+  WatchPacing pushed({.push_grace_ms = 200, .instances = 350, .place = {}}, 1);
+  EXPECT_EQ(pushed.first_call_ms(0), 0);
+  for (int i = 0; i < 50; ++i) EXPECT_LE(pushed.backoff_ms({}), 0.25 * 200 * 1.25);
 }
 
 }  // namespace
