Watch pacing: a call refused in its place is not repeated at the same time

Cause: until_place_ms() may give the rounding of Unix time (0.00024 ms) at the place itself; a call that was refused at once was then due again at the same time, and the loop spun. Test: ACallRefusedInItsPlaceIsNotRepeatedAtOnce fails with the code before (0.000244 ms for 100).

--- a/src/proxy/discovery/watch_pacing.cpp
+++ b/src/proxy/discovery/watch_pacing.cpp
@@ -33,6 +33,8 @@
 constexpr double max_backoff_ms = change_binds_ms - polled_answer_limit_ms - answer_takes_ms;
 // Polled: a whole fleet loses its watches together and returns at one call per this time.
 constexpr double fleet_call_interval_ms = 20;
+// Larger than the rounding of Unix time in a double.
+constexpr double rounding_ms = 1;
 // Smaller fleets make their first call at once, and use no frames.
 constexpr double staggered_fleet_size = 25;  // balancers
 // A frame has this time per balancer, twice what discovery needs: it also sends changes on the open watches.
@@ -92,8 +94,10 @@
 // place may be later than that; then the call is drawn from the time that is left.
 double WatchPacing::frame_backoff_ms(const FailedCall& call) {
   double place_ms = until_place_ms(call.failed_at_ms);
+  // A call refused at once, in its place: a rounded time may lie just before the place.
+  if (place_ms < first_backoff_ms) place_ms += frame_ms();
   double latest_ms = std::max(call.called_at_ms + frame_ms() - call.failed_at_ms, first_backoff_ms);
-  if (place_ms > latest_ms) place_ms = latest_ms * (0.5 + 0.5 * random_fraction());
+  if (place_ms > latest_ms + rounding_ms) place_ms = latest_ms * (0.5 + 0.5 * random_fraction());
   return std::max(place_ms, std::min(call.retry_after_ms, latest_ms));
 }
 
--- a/tests/proxy/discovery/watch_pacing_test.cpp
+++ b/tests/proxy/discovery/watch_pacing_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <queue>
 #include <vector>
@@ -157,6 +158,18 @@
   }
 }
 
+// A call refused at once, in its place: the next one must not follow at the same time, or the process spins.
+TEST(WatchPacing, ACallRefusedInItsPlaceIsNotRepeatedAtOnce) {
+  constexpr double unix_time_ms = 1764764764000;
+  for (int number = 0; number < 97; ++number) {
+    WatchPacing pacing({.push_grace_ms = {}, .instances = 291, .place = number / 97.0}, 1);
+    static_cast<void>(pacing.backoff_ms({}));
+    double place_ms = unix_time_ms + pacing.first_call_ms(unix_time_ms);
+    for (double at_ms : {std::nextafter(place_ms, 0), place_ms, place_ms + 0.01})
+      EXPECT_GE(pacing.backoff_ms({.called_at_ms = at_ms, .failed_at_ms = at_ms}), 100) << number;
+  }
+}
+
 // A reload moves a whole fleet at once: discovery spends at most half of its time on complete lists, for any
 // fleet size, and a small fleet gets them within a second or so.
 TEST(WatchPacing, CompleteListsAfterAMoveAreSpread) {
