--- a/tests/e2e/initial_list_test.cpp
+++ b/tests/e2e/initial_list_test.cpp
@@ -55,7 +55,7 @@
 }
 
 // Discovery is down: what it publishes binds only after its return, so the configured list is used meanwhile.
-TEST(InitialEndpointList, TheConfiguredListServesWhileDiscoveryIsUnreachable) {
+TEST(InitialEndpointList, ServesWhileDiscoveryIsUnreachable) {
   ProxyProcess proxy({.upstreams = 1, .settings = polled_lists});
   auto call = proxy.discovery.accept();  // and no response
   proxy.wait_for_log("initial endpoint list: awaited -> unreachable");
--- a/tests/e2e/shutdown_soak.cpp
+++ b/tests/e2e/shutdown_soak.cpp
@@ -51,11 +51,11 @@
 class ShutdownSoak {
  public:
   explicit ShutdownSoak(std::uint32_t seed)
-      : random_(seed), crowded_(seed % 4 == 1), proxy_(options_of(seed)) {}
+      : random_(seed), has_idle_crowd_(seed % 4 == 1), proxy_(options_of(seed)) {}
 
   void run(int steps) {
     await_endpoint_list();
-    if (crowded_) connect_crowd();
+    if (has_idle_crowd_) connect_crowd();
     for (int i = 0; i < steps; ++i) {
       if (i % 8 == 7) random_event();
       turn();
@@ -309,7 +309,7 @@
   }
 
   std::mt19937 random_;
-  bool crowded_;
+  bool has_idle_crowd_;
   ProxyProcess proxy_;
   std::vector<Client> clients_;
   std::vector<TcpConnection> crowd_;
@@ -329,7 +329,7 @@
   return position < all.size() ? std::atoi(all[position].c_str()) : fallback;
 }
 
-// Guards against requests lost or run twice when a balancer is told to end while its clients go on.
+// Guards against lost and repeated requests of clients that go on after SIGTERM.
 TEST(ShutdownSoak, NoRequestIsLostWhileClientsUseTheirConnections) {
   int first_seed = argument(1, 1);
   int seeds = argument(2, 12);
--- a/tests/proxy/discovery/watch_pacing_test.cpp
+++ b/tests/proxy/discovery/watch_pacing_test.cpp
@@ -116,7 +116,7 @@
 
 // Half of a fleet restarts while discovery returns from an outage. Each process that starts calls as well as
 // those whose watches broke: together they must stay below discovery's capacity, or none of them is answered.
-TEST(WatchPacing, CallsOfStartsAndOfBrokenWatchesStayBelowDiscoverysCapacity) {
+TEST(WatchPacing, StartsAndBrokenWatchesDoNotOverloadDiscovery) {
   constexpr int instances = 240;
   constexpr double outage_ms = 8000;
   auto replaced_at_ms = [](int number) { return outage_ms + 2000 + 12.0 * number; };
