--- a/src/proxy/discovery/watch_pacing.cpp
+++ b/src/proxy/discovery/watch_pacing.cpp
@@ -72,9 +72,9 @@
 }
 
 WatchPacing::WatchPacing(const WatchTerms& terms, std::uint64_t seed)
-    : terms_(terms), random_(static_cast<std::uint32_t>(seed ^ seed >> 32)) {
-  place_ = terms.place ? *terms.place : random_fraction();
-}
+    : terms_(terms),
+      random_(static_cast<std::uint32_t>(seed ^ seed >> 32)),
+      place_(terms.place ? *terms.place : random_fraction()) {}
 
 double WatchPacing::answer_limit_ms() const {
   return pushed() ? pushed_answer_limit_ms : polled_answer_limit_ms;
