Fleet verdicts: a trial that is this balancer's turn is sent with its next request

What callers saw: FleetRun.SharedVerdictsLimitBlackHoledRequests, once in 13 runs beside 8 busy processes: "(after) > (3), actual: 0": a server that had come back was used by nobody for three seconds. Cause: while a fleet ejects a server, one balancer at a time may try it, but nothing sent a request there: the trial waited for the picker's random draw, 0.64 s in the mean with 12.5 requests a second before eight servers, and any time in its tail. All others wait for that one balancer. Traces of the failing test (18 runs, 1 quiet, 17 beside 8 or 24 busy processes): turns from some 5.3 s on, the request at 5.7 in most, at 6.8 in three; in one of them first served at 8,539 ms of the 10 s. Fix: the verdicts name the servers whose turn it is (OutlierVerdicts::on_trial), and the picker sends the next first attempt that may be repeated there, once a turn (Policy::request_trials). EndpointPicker.TakesTheTurnOfAFleetTrialWithOneRequest and FleetVerdicts.TrialIsTheTurnOfOneAccuser are new.

--- a/bench/baselines/plain.cpp
+++ b/bench/baselines/plain.cpp
@@ -147,6 +147,7 @@
 void Policy::set_manual_drain(EndpointIndex, bool, double) {}
 int Policy::unavailable_endpoints(double, std::vector<EndpointIndex>*) const { return 0; }
 void Policy::gossip_received(const GossipContent&, double) {}
+void Policy::request_trials(std::span<const std::uint32_t>) {}
 void Policy::body_complete(Request& request, double deadline_ms, double) {
   request.deadline_ms = deadline_ms;
   request.body_incoming = false;
--- a/src/fleet/outlier_verdicts.cpp
+++ b/src/fleet/outlier_verdicts.cpp
@@ -186,8 +186,10 @@
   return result;
 }
 
-std::vector<ServerId> OutlierVerdicts::ejected(const std::vector<ServerId>& listed,
-                                               const std::vector<std::string>& alive, double now_ms) const {
+// The listed servers that the fleet ejects, those with most accusers first.
+std::vector<OutlierVerdicts::Assessment> OutlierVerdicts::outliers(const std::vector<ServerId>& listed,
+                                                                   const std::vector<std::string>& alive,
+                                                                   double now_ms) const {
   std::vector<Assessment> outliers;
   for (auto server : accused(now_ms)) {
     if (std::find(listed.begin(), listed.end(), server) == listed.end()) continue;
@@ -200,12 +202,25 @@
   });
   auto max_ejected = static_cast<std::size_t>(max_ejected_share * static_cast<double>(listed.size()));
   if (outliers.size() > max_ejected) outliers.resize(max_ejected);
+  return outliers;
+}
+
+std::vector<ServerId> OutlierVerdicts::ejected(const std::vector<ServerId>& listed,
+                                               const std::vector<std::string>& alive, double now_ms) const {
   std::vector<ServerId> servers;
-  for (const auto& outlier : outliers)
+  for (const auto& outlier : outliers(listed, alive, now_ms))
     if (!outlier.our_trial) servers.push_back(outlier.server);
   return servers;
 }
 
+std::vector<ServerId> OutlierVerdicts::on_trial(const std::vector<ServerId>& listed,
+                                                const std::vector<std::string>& alive, double now_ms) const {
+  std::vector<ServerId> servers;
+  for (const auto& outlier : outliers(listed, alive, now_ms))
+    if (outlier.our_trial) servers.push_back(outlier.server);
+  return servers;
+}
+
 std::optional<BrokenInvariant> OutlierVerdicts::broken_invariant() const {
   if (origins_.size() > max_origins + 1)
     return BrokenInvariant{.invariant = Invariant::origins_bounded,
--- a/src/fleet/outlier_verdicts.hpp
+++ b/src/fleet/outlier_verdicts.hpp
@@ -59,6 +59,9 @@
   // instances, sorted.
   [[nodiscard]] std::vector<ServerId> ejected(const std::vector<ServerId>& listed,
                                               const std::vector<std::string>& alive, double now_ms) const;
+  // Those that other instances must not pick now and that it is this instance's turn to try.
+  [[nodiscard]] std::vector<ServerId> on_trial(const std::vector<ServerId>& listed,
+                                               const std::vector<std::string>& alive, double now_ms) const;
   // Drops expired sightings, and origins that are not in `known`, which is sorted.
   void expire(const std::vector<std::string>& known, double now_ms);
   // The number of instances with sightings.
@@ -96,6 +99,8 @@
                                   double now_ms) const;
   [[nodiscard]] Assessment assess(ServerId server, const std::vector<std::string>& alive,
                                   double now_ms) const;
+  [[nodiscard]] std::vector<Assessment> outliers(const std::vector<ServerId>& listed,
+                                                 const std::vector<std::string>& alive, double now_ms) const;
 
   std::string self_;
   std::map<std::string, Origin> origins_;        // by instance name, with this one
--- a/src/policy/endpoint.hpp
+++ b/src/policy/endpoint.hpp
@@ -40,6 +40,13 @@
   double expected_ms = 1;  // computed at each pick
 };
 
+// The trial of an endpoint that the fleet has ejected. Written by EndpointPicker.
+enum class FleetTrial : std::uint8_t {
+  none,
+  requested,  // it is this balancer's turn
+  sent        // an attempt of this turn has gone there
+};
+
 struct Endpoint {
   // As listed.
   int zone = 0;
@@ -55,6 +62,8 @@
   double drained_at_ms = -never;
   double undrained_at_ms = -never;  // end of the drain, until an attempt goes there
 
+  FleetTrial fleet_trial = FleetTrial::none;
+
   int in_flight = 0;                   // own attempts
   bool awaiting_first_outcome = true;  // no outcome since it was new or restarted
   double last_sign_at_ms = 0;          // last byte or outcome, or first attempt after being idle
--- a/src/policy/endpoint_picker.cpp
+++ b/src/policy/endpoint_picker.cpp
@@ -40,6 +40,7 @@
     gather_regardless_of_health(request, tier.ready, now_ms);
   if (candidates_.empty()) return no_endpoint;
   if (EndpointIndex index = undrained_candidate(request, now_ms); index != no_endpoint) return index;
+  if (EndpointIndex index = fleet_trial_candidate(request); index != no_endpoint) return index;
   if (parts_.affinity.applies_to(request)) {
     EndpointIndex index = pick_by_affinity(request, now_ms);
     bool is_full = limiter.is_full_by_report(request, parts_.endpoints[index], now_ms);
@@ -145,6 +146,29 @@
   return no_endpoint;
 }
 
+// An endpoint whose trial is this balancer's turn and has not been sent yet. All others wait for its outcome:
+// left to the draw, the trial could take seconds where requests are few. Only a first attempt that may be
+// repeated goes there, as for other trials.
+EndpointIndex EndpointPicker::fleet_trial_candidate(const Request& request) const {
+  if (request.attempt_count > 0 || must_avoid_trials(request)) return no_endpoint;
+  auto awaits_trial = [&](EndpointIndex index) {
+    return parts_.endpoints[index].fleet_trial == FleetTrial::requested;
+  };
+  auto it = std::ranges::find_if(candidates_, awaits_trial);
+  return it == candidates_.end() ? no_endpoint : *it;
+}
+
+void EndpointPicker::request_trials(std::span<const std::uint32_t> endpoint_ids) {
+  for (EndpointIndex index : parts_.endpoints.listed()) {
+    auto& endpoint = parts_.endpoints[index];
+    bool is_our_turn = std::ranges::find(endpoint_ids, endpoint.id) != endpoint_ids.end();
+    if (!is_our_turn)
+      endpoint.fleet_trial = FleetTrial::none;
+    else if (endpoint.fleet_trial == FleetTrial::none)
+      endpoint.fleet_trial = FleetTrial::requested;
+  }
+}
+
 EndpointIndex EndpointPicker::pick_by_affinity(const Request& request, double now_ms) {
   double objective_ms = parts_.classes.of(request).settings.target_ms;
   return parts_.affinity.pick(request, objective_ms, candidates_, now_ms);
--- a/src/policy/endpoint_picker.hpp
+++ b/src/policy/endpoint_picker.hpp
@@ -2,6 +2,8 @@
 // acts".
 #pragma once
 
+#include <cstdint>
+#include <span>
 #include <vector>
 
 #include "policy/concurrency_limiter.hpp"
@@ -39,7 +41,8 @@
 //  2. Candidates are the endpoints that are healthy for this request (is_healthy_for) and that no rule
 //     excludes (exclusion_reason). Panic threshold: where most ready endpoints look unhealthy, health is
 //     ignored.
-//  3. An endpoint whose manual drain has just ended is tried first.
+//  3. An endpoint whose manual drain has just ended is tried first; then an endpoint that the fleet has
+//     ejected, in this balancer's turn to try it.
 //  4. By key affinity, if it applies to the request; by fresh probes, where probes are used.
 //  5. Otherwise, in the own zone first, a random endpoint without own requests in flight, else the one with
 //     fewer of two drawn by weight (power of two choices).
@@ -52,6 +55,13 @@
   // The reason for the last `no_endpoint`: the limit's, or that of the last endpoint excluded by a rule.
   [[nodiscard]] RejectionReason rejection_reason() const { return rejection_reason_; }
 
+  // See Policy::request_trials().
+  void request_trials(std::span<const std::uint32_t> endpoint_ids);
+  // An attempt goes to the endpoint.
+  static void record_trial(Endpoint& endpoint) {
+    if (endpoint.fleet_trial == FleetTrial::requested) endpoint.fleet_trial = FleetTrial::sent;
+  }
+
  private:
   // Counts of the endpoints that are listed as ready and not drained.
   struct TierCounts {
@@ -69,6 +79,7 @@
   EndpointIndex pick_by_affinity(const Request& request, double now_ms);
   EndpointIndex admit_unless(bool is_full, bool is_limited, EndpointIndex index);
   [[nodiscard]] EndpointIndex undrained_candidate(const Request& request, double now_ms) const;
+  [[nodiscard]] EndpointIndex fleet_trial_candidate(const Request& request) const;
   bool is_rejected(bool is_full);
   EndpointIndex pick_lowest_probed_load(double now_ms);
   [[nodiscard]] double probed_load(const Endpoint& endpoint, double now_ms) const;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -57,6 +57,10 @@
   core_->gossip_received(content, now_ms);
 }
 
+void Policy::request_trials(std::span<const std::uint32_t> endpoint_ids) {
+  core_->request_trials(endpoint_ids);
+}
+
 PeriodicActions Policy::tick(double now_ms) { return core_->tick(now_ms); }
 
 double Policy::tick_interval_ms() const { return core_->tick_interval_ms(); }
--- a/src/policy/policy.hpp
+++ b/src/policy/policy.hpp
@@ -62,6 +62,9 @@
                    double now_ms);
   // Gossip of another balancer.
   void gossip_received(const GossipContent& content, double now_ms);
+  // It is this balancer's turn to try these endpoints, by their ids in gossip, which the fleet has ejected:
+  // the next request that may go there does, once a turn. The turns of all other endpoints end.
+  void request_trials(std::span<const std::uint32_t> endpoint_ids);
   // To be called every tick_interval_ms().
   PeriodicActions tick(double now_ms);
   [[nodiscard]] double tick_interval_ms() const;
--- a/src/policy/policy_core.cpp
+++ b/src/policy/policy_core.cpp
@@ -94,6 +94,7 @@
     expected_ms = load_.predicted_ms(request, endpoint, slow_start_.capacity_fraction(endpoint, now_ms));
   endpoint.load.probed_load += 1;
   endpoint.undrained_at_ms = -never;
+  EndpointPicker::record_trial(endpoint);
   auto& attempt = add_attempt(request, index, now_ms);
   attempt.expected_ms = static_cast<float>(expected_ms);
   // While the body is still incoming the endpoint has nothing to do and may be quiet.
--- a/src/policy/policy_core.hpp
+++ b/src/policy/policy_core.hpp
@@ -63,6 +63,7 @@
   void probe_ended(EndpointIndex endpoint, Outcome outcome, double took_ms, const LoadReport& load_report,
                    double now_ms);
   void gossip_received(const GossipContent& content, double now_ms);
+  void request_trials(std::span<const std::uint32_t> endpoint_ids) { picker_.request_trials(endpoint_ids); }
   PeriodicActions tick(double now_ms);
   [[nodiscard]] double tick_interval_ms() const { return tick_interval_ms_; }
 
--- a/src/program/fleet_verdicts.cpp
+++ b/src/program/fleet_verdicts.cpp
@@ -38,7 +38,16 @@
   std::sort(alive.begin(), alive.end());
   std::sort(known.begin(), known.end());
   verdicts_.expire(known, now_ms);
-  publish(verdicts_.ejected(balancer_->listed_servers(), alive, now_ms));
+  const auto listed = balancer_->listed_servers();
+  publish(verdicts_.ejected(listed, alive, now_ms));
+  request_trials(verdicts_.on_trial(listed, alive, now_ms));
+}
+
+// Reports the end of a turn once, by a list without the server.
+void FleetVerdicts::request_trials(std::vector<fleet::ServerId> servers) {
+  if (servers.empty() && on_trial_.empty()) return;
+  balancer_->request_trials(servers);
+  on_trial_ = std::move(servers);
 }
 
 // The policy lets gossip expire, so an ejected server is reported on every tick. A server that is no longer
--- a/src/program/fleet_verdicts.hpp
+++ b/src/program/fleet_verdicts.hpp
@@ -35,12 +35,14 @@
  private:
   void apply(double now_ms);
   void publish(std::vector<fleet::ServerId> ejected);
+  void request_trials(std::vector<fleet::ServerId> servers);
 
   fleet::OutlierVerdicts verdicts_;
   const membership::MemberTable& members_;
   const FleetLog& log_;
   proxy::Balancer* balancer_ = nullptr;
-  std::vector<fleet::ServerId> ejected_;  // as last reported to the balancer
+  std::vector<fleet::ServerId> ejected_;   // as last reported to the balancer
+  std::vector<fleet::ServerId> on_trial_;  // the same
   double next_tick_at_ms_ = 0;
 };
 
--- a/src/proxy/balancer.hpp
+++ b/src/proxy/balancer.hpp
@@ -88,6 +88,8 @@
   [[nodiscard]] std::vector<std::uint32_t> listed_servers() const { return endpoints_.listed_server_ids(); }
   [[nodiscard]] std::vector<std::uint32_t> ejected_servers() const;
   void gossip_received(const GossipContent& gossip) { policy_.gossip_received(gossip, now_ms_); }
+  // It is this balancer's turn to try these servers, which the fleet has ejected, and no others.
+  void request_trials(const std::vector<std::uint32_t>& server_ids) { policy_.request_trials(server_ids); }
 
   [[nodiscard]] Metrics metrics() const;
   [[nodiscard]] bool is_listed(const std::string& name) const { return endpoints_.is_listed(name); }
--- a/tests/fleet/fleet_verdicts_test.cpp
+++ b/tests/fleet/fleet_verdicts_test.cpp
@@ -136,6 +136,23 @@
   EXPECT_EQ(users(3201, all).size(), 5u);
 }
 
+TEST(FleetVerdicts, TrialIsTheTurnOfOneAccuser) {
+  OutlierVerdicts v("a");
+  for (std::uint32_t s : {1u, 2u, 4u}) v.record_success(s, 1000);
+  v.record_suspects({3}, 1000);
+  EXPECT_EQ(v.on_trial(ten, all, 2100), Servers{});  // nobody ejects it
+  v.merge("b", {bad(3)}, 0.1, 1100);
+  EXPECT_EQ(v.on_trial(ten, all, 2000), Servers{});
+  EXPECT_EQ(v.ejected(ten, all, 2000), Servers{3});
+  EXPECT_EQ(v.on_trial(ten, all, 2100), Servers{3});
+  EXPECT_EQ(v.ejected(ten, all, 2100), Servers{});
+  OutlierVerdicts onlooker("c");  // no accuser: it never has a turn
+  onlooker.merge("a", {bad(3)}, 0.1, 1000);
+  onlooker.merge("b", {bad(3)}, 0.1, 1100);
+  EXPECT_EQ(onlooker.on_trial(ten, all, 2100), Servers{});
+  EXPECT_EQ(onlooker.ejected(ten, all, 2100), Servers{3});
+}
+
 // Random observations in two orders, one with repetition: the verdicts are equal, within the bounded share,
 // and each rests on unexpired observations of two origins.
 TEST(FleetVerdicts, OrderAndRepetitionChangeNothing) {
--- a/tests/policy/endpoint_picker_test.cpp
+++ b/tests/policy/endpoint_picker_test.cpp
@@ -39,6 +39,23 @@
   EXPECT_LT(w.sends[0], w.sends[1] / 4);
 }
 
+// A trial that the fleet waits for is sent with the next request that may be repeated, and once a turn.
+TEST(EndpointPicker, TakesTheTurnOfAFleetTrialWithOneRequest) {
+  PolicyHarness w({}, 8, 5);
+  w.policy.request_trials(std::vector<std::uint32_t>{w.entries[3].id});
+  w.submit(1, 5000);
+  EXPECT_EQ(w.sends[3], 0);  // non-idempotent
+  w.submit(0, 5000);
+  EXPECT_EQ(w.sends[3], 1);
+  w.policy.request_trials(std::vector<std::uint32_t>{w.entries[3].id});
+  for (int i = 0; i < 6; ++i) w.submit(0, 5000);
+  EXPECT_EQ(w.sends[3], 1);  // the others are idle
+  w.policy.request_trials({});
+  w.policy.request_trials(std::vector<std::uint32_t>{w.entries[3].id});
+  w.submit(0, 5000);
+  EXPECT_EQ(w.sends[3], 2);  // another turn, though others have as few in flight
+}
+
 // Endpoints that are picked too seldom to measure are weighted by what their server kind has shown.
 TEST(EndpointPicker, DrawsSlowKindsLess) {
   PolicyHarness w({}, 100, 5);
