Tests: shorter names, and one constant a line in the idempotency model

Change of form: 16 tests renamed, the model's constants have a line and a unit each; no value, check or order of draws has changed.

IdempotencyGroup: ServerMovedInTheTurnOfTheFailureGetsNoFurtherAttempt is MoveInTheTurnOfTheFailure, PartlyWrittenAttemptIsNotCompletedInTheTurnOfTheMove MoveWhilePartlyWritten. IdempotencyWindow: ConnectionThatComesUpShortlyBehindTheWindowGetsNoFurtherAttempt is ConnectionUpShortlyAfterTheWindow, ConnectionThatComesUpInTheTurnOfTheEndGetsNoFurtherAttempt ConnectionUpInTheTurnOfTheEnd, ConnectionSeenInTheTurnOfTheEndGetsNoFurtherAttempt ConnectionSeenInTheTurnOfTheEnd, ConnectionThatComesUpWithinTheWindowGetsTheFurtherAttempt ConnectionUpWithinTheWindow, PartlyWrittenAttemptIsNotCompletedInTheTurnOfTheEnd WindowEndsWhilePartlyWritten, RejectionOfAFurtherAttemptLeavesTheWindowOfTheFirst RejectedRetryKeepsTheFirstWindow, ClientThatAsksAgainEndsTheFurtherAttemptOfItsFormerRequest ClientRepeatsAfterLeaving. ShutdownSoak: NoRequestIsLostByAProcessThatIsEndedInItsFirstMilliseconds is EndedInTheFirstMilliseconds. SilentWatch: NoRequestReachesADrainingEndpointOnceItsDrainBinds is NoRequestAfterTheDrainBinds. SilentWatchPacing: SilenceAndTheWholeAnswerLimitStayBelowTheBoundOfASmallFleet is SmallFleetHasTimeForASlowAnswer. IdempotencyModel: AFirstAttemptIsNotWrittenBehindTheWindowOfAHedgedOne is FirstAttemptKeepsTheHedgedWindow. Upstreams: SendNoAttemptThatIsWithdrawnInTheTurnOfItsConnection is SendNoAttemptWithdrawnInThatTurn. HttpClient: ResponseThereBeforeTheTimeoutIsReadThoughTheThreadWasHeld is ReadsBeforeItTimesOutAfterAHold. TurnMeter: MeasuresWorkFromTheBeginAndDelayFromTheDueTimeOrTheWait is MeasuresWorkAndDelay.

--- a/tests/e2e/idempotency_group_test.cpp
+++ b/tests/e2e/idempotency_group_test.cpp
@@ -63,7 +63,7 @@
 }
 
 // Guards against the same where the list comes in the very turn in which the first attempt breaks.
-TEST(IdempotencyGroup, ServerMovedInTheTurnOfTheFailureGetsNoFurtherAttempt) {
+TEST(IdempotencyGroup, MoveInTheTurnOfTheFailure) {
   for (const auto& other : other_groups)
     for (std::size_t move = 0; move < move_count; ++move) {
       KeyedRequestRun run({.group = other.kind});
@@ -147,7 +147,7 @@
 }
 
 // Guards against the same in the very turn in which the connection becomes writable.
-TEST(IdempotencyGroup, PartlyWrittenAttemptIsNotCompletedInTheTurnOfTheMove) {
+TEST(IdempotencyGroup, MoveWhilePartlyWritten) {
   for (const auto& other : other_groups)
     for (std::size_t move = 0; move < same_process_moves; ++move)
       expect_not_completed_at_moved_server(other, move, true);
--- a/tests/e2e/idempotency_window_test.cpp
+++ b/tests/e2e/idempotency_window_test.cpp
@@ -88,22 +88,22 @@
 }
 
 // Guards against the same where the connection comes up shortly behind the window.
-TEST(IdempotencyWindow, ConnectionThatComesUpShortlyBehindTheWindowGetsNoFurtherAttempt) {
+TEST(IdempotencyWindow, ConnectionUpShortlyAfterTheWindow) {
   expect_by_window({.window_ms = 980, .failed_at_ms = 750, .paused = false, .is_sent = false});
 }
 
 // Guards against the same in the very turn in which the time to send ends.
-TEST(IdempotencyWindow, ConnectionThatComesUpInTheTurnOfTheEndGetsNoFurtherAttempt) {
+TEST(IdempotencyWindow, ConnectionUpInTheTurnOfTheEnd) {
   expect_by_window({.window_ms = 980, .failed_at_ms = 750, .paused = true, .is_sent = false});
 }
 
 // Guards against the same where the connection has come up within the window.
-TEST(IdempotencyWindow, ConnectionSeenInTheTurnOfTheEndGetsNoFurtherAttempt) {
+TEST(IdempotencyWindow, ConnectionSeenInTheTurnOfTheEnd) {
   expect_by_window({.window_ms = 1080, .failed_at_ms = 850, .paused = true, .is_sent = false});
 }
 
 // Guards against a limit that is too strict: within the window the further attempt is sent.
-TEST(IdempotencyWindow, ConnectionThatComesUpWithinTheWindowGetsTheFurtherAttempt) {
+TEST(IdempotencyWindow, ConnectionUpWithinTheWindow) {
   expect_by_window({.window_ms = 2000, .failed_at_ms = 850, .paused = false, .is_sent = true});
 }
 
@@ -185,7 +185,7 @@
 }
 
 // Guards against the same in the very turn in which the connection becomes writable.
-TEST(IdempotencyWindow, PartlyWrittenAttemptIsNotCompletedInTheTurnOfTheEnd) {
+TEST(IdempotencyWindow, WindowEndsWhilePartlyWritten) {
   PartlyWritten written;
   written.run.sleep_until_ms(large_body_window_ms - 110);
   written.run.proxy.pause();
@@ -202,7 +202,7 @@
 
 // Guards against a rejected further attempt that stands for the first one: that may still have run, and its
 // window ends.
-TEST(IdempotencyWindow, RejectionOfAFurtherAttemptLeavesTheWindowOfTheFirst) {
+TEST(IdempotencyWindow, RejectedRetryKeepsTheFirstWindow) {
   constexpr int window_ms = 400;
   KeyedRequestRun run({.window_ms = window_ms});
   run.sleep_until_ms(window_ms / 4);
@@ -236,7 +236,7 @@
 }
 
 // Guards against a further attempt that is sent after its client has left and has asked again with its key.
-TEST(IdempotencyWindow, ClientThatAsksAgainEndsTheFurtherAttemptOfItsFormerRequest) {
+TEST(IdempotencyWindow, ClientRepeatsAfterLeaving) {
   UnresponsiveHost slow;
   KeyedRequestRun run({});
   run.publish_and_wait({endpoint_entry(0, slow.listener.address())});
--- a/tests/e2e/shutdown_soak.cpp
+++ b/tests/e2e/shutdown_soak.cpp
@@ -90,7 +90,7 @@
 
 // Guards against requests lost by a process that ends before it has its first list, or as it begins to
 // listen.
-TEST(ShutdownSoak, NoRequestIsLostByAProcessThatIsEndedInItsFirstMilliseconds) {
+TEST(ShutdownSoak, EndedInTheFirstMilliseconds) {
   for (int seed = first_seed(); seed < end_of_seeds(); ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     EarlyTermination(static_cast<std::uint32_t>(seed)).run();
--- a/tests/e2e/silent_watch_test.cpp
+++ b/tests/e2e/silent_watch_test.cpp
@@ -70,7 +70,7 @@
 
 // Guards against requests to endpoints that drain while the watch is silent: the watch must be reopened early
 // enough for the list to arrive before the drain binds.
-TEST(SilentWatch, NoRequestReachesADrainingEndpointOnceItsDrainBinds) {
+TEST(SilentWatch, NoRequestAfterTheDrainBinds) {
   Balancers balancers;
   for (int number = 0; number < fleet_size; number += fleet_size / process_count)
     balancers.push_back(std::make_unique<Balancer>(number));
--- a/tests/proxy/discovery/silent_watch_pacing_test.cpp
+++ b/tests/proxy/discovery/silent_watch_pacing_test.cpp
@@ -163,7 +163,7 @@
 }
 
 // An answer may take its whole limit where the fleet is small.
-TEST(SilentWatchPacing, SilenceAndTheWholeAnswerLimitStayBelowTheBoundOfASmallFleet) {
+TEST(SilentWatchPacing, SmallFleetHasTimeForASlowAnswer) {
   for (double instances : {1.0, 3.0, 10.0, 30.0, 54.0})
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
       WatchPacing pacing({.push_grace_ms = {}, .instances = instances, .place = {}}, seed);
--- a/tests/proxy/upstream/idempotency_model.cpp
+++ b/tests/proxy/upstream/idempotency_model.cpp
@@ -16,11 +16,18 @@
 constexpr std::size_t max_dials_per_server = 2;  // few, so that attempts wait behind the dials of others
 constexpr double settle_ms = 20;                 // between a response and the connection's next request
 
-// Dials that are refused, take up to `max_dial_ratio` of the time limit of dials, or never end.
-constexpr double refused_share = 0.04, slow_dial_share = 0.5, silent_dial_share = 0.04;
-constexpr double quick_dial_ms = 3, max_dial_ratio = 1.5;
-// Requests that are written in parts, connections that break between two parts, and the time between them.
-constexpr double broken_part_share = 0.05, long_gap_share = 0.25, short_gap_ms = 20;
+// Dials.
+constexpr double refused_share = 0.04;      // of the dials
+constexpr double slow_dial_share = 0.5;     // of the dials
+constexpr double silent_dial_share = 0.04;  // of the dials; these never end
+constexpr double quick_dial_ms = 3;         // at most, unless slow
+constexpr double max_dial_ratio = 1.5;      // of the time limit of dials, for a slow one
+
+// Requests that are written in parts.
+constexpr double broken_part_share = 0.05;  // of the parts: the connection breaks behind them
+constexpr double long_gap_share = 0.25;     // of the gaps between two parts
+constexpr double short_gap_ms = 20;         // at most, unless long
+
 constexpr double max_wake_ms = 0.5;       // from an event to the reading of the clock
 constexpr double keep_alive_share = 0.4;  // of the responses
 
--- a/tests/proxy/upstream/idempotency_model_servers.cpp
+++ b/tests/proxy/upstream/idempotency_model_servers.cpp
@@ -13,40 +13,51 @@
 namespace {
 
 // How servers treat requests whose last byte has come. The rest succeeds soon.
-constexpr double rejected_share = 0.06, never_answered_share = 0.04, failed_share = 0.25,
-                 late_succeeded_share = 0.05;
-constexpr double failure_reset_share = 0.5,
-                 failure_late_share = 0.8;  // of the failures; the others are errors
-constexpr double lost_share =
-    0.02;  // of the requests, on a connection that breaks before the last byte comes
+constexpr double rejected_share = 0.06;
+constexpr double never_answered_share = 0.04;
+constexpr double failed_share = 0.25;
+constexpr double late_succeeded_share = 0.05;
+constexpr double failure_reset_share = 0.5;  // of the failures; the others are errors
+constexpr double failure_late_share = 0.8;   // of the failures
+constexpr double lost_share = 0.02;  // of the requests, whose connection breaks before the last byte comes
 constexpr double max_soon_ms = 40;
-// Late responses come around the end of the window.
-constexpr double min_late_ratio = 0.3, max_late_ratio = 1.05;
-constexpr double near_end_share = 0.5, min_near_end_ratio = 0.75, max_near_end_ratio = 1;
-
-constexpr double min_way_ms = 0.1, max_way_ms = 3;  // from the balancer to a server
-constexpr double taken_late_share = 0.1, max_taken_late_ratio = 1;
-
-// In windows: requests and changes of the list come at this mean interval.
-constexpr double request_interval_ratio = 1.0 / 15, change_interval_ratio = 1.0 / 2;
-constexpr double min_budget_ratio = 0.5, max_budget_ratio = 4, min_budget_ms = 100;
 
-constexpr double write_turn_change_share =
-    0.2;  // of the turns in which a further attempt is about to be written
-constexpr double awaited_change_share = 0.7;  // of the changes, if a further attempt is not sent yet
-constexpr double repetition_share = 0.5;      // of the rejected requests
-constexpr double leaving_share = 0.08, coming_again_share = 0.7, max_again_ms = 50;  // of the clients
+// Late responses come around the end of the window.
+constexpr double min_late_ratio = 0.3;       // of the window
+constexpr double max_late_ratio = 1.05;      // of the window
+constexpr double near_end_share = 0.5;       // of the late responses, drawn from the two ratios below
+constexpr double min_near_end_ratio = 0.75;  // of the window
+constexpr double max_near_end_ratio = 1;     // of the window
+
+constexpr double min_way_ms = 0.1;          // from the balancer to a server
+constexpr double max_way_ms = 3;            // the same
+constexpr double taken_late_share = 0.1;    // of the requests
+constexpr double max_taken_late_ratio = 1;  // of the window
+
+constexpr double request_interval_ratio = 1.0 / 15;  // of the window, the mean between two requests
+constexpr double change_interval_ratio = 1.0 / 2;  // of the window, the mean between two changes of the list
+constexpr double min_budget_ratio = 0.5;           // of the window
+constexpr double max_budget_ratio = 4;             // of the window
+constexpr double min_budget_ms = 100;              // added to it
+
+constexpr double write_turn_change_share = 0.2;  // of the turns in which a further attempt is to be written
+constexpr double awaited_change_share = 0.7;     // of the changes, if a further attempt is not sent yet
+constexpr double repetition_share = 0.5;         // of the rejected requests
+constexpr double leaving_share = 0.08;           // of the clients
+constexpr double coming_again_share = 0.7;       // of those that leave
+constexpr double max_again_ms = 50;              // from leaving to coming again
 constexpr int min_listed = 5;
 constexpr int request_class_count = 5;
 constexpr double keyed_share = 0.7;  // of the requests
 constexpr int first_keyed_class = 2;
 
+constexpr double min_dial_timeout_ms = 50;
+constexpr double max_dial_timeout_ms = 1000;
+
 double log_uniform(Chance& chance, double least, double most) {
   return least * std::pow(most / least, chance.uniform());
 }
 
-constexpr double min_dial_timeout_ms = 50, max_dial_timeout_ms = 1000;
-
 }  // namespace
 
 IdempotencyModel::IdempotencyModel(const ModelSettings& settings)
--- a/tests/proxy/upstream/idempotency_model_test.cpp
+++ b/tests/proxy/upstream/idempotency_model_test.cpp
@@ -121,7 +121,7 @@
 }
 
 // Guards against a first attempt whose last byte is written long after that of a hedged request.
-TEST(IdempotencyModel, AFirstAttemptIsNotWrittenBehindTheWindowOfAHedgedOne) {
+TEST(IdempotencyModel, FirstAttemptKeepsTheHedgedWindow) {
   auto settings = whole_requests;
   settings.parts_share = often_in_parts_share;
   settings.hedging = true;
--- a/tests/proxy/upstream/upstreams_test.cpp
+++ b/tests/proxy/upstream/upstreams_test.cpp
@@ -198,7 +198,7 @@
 
 // A list comes in the turn in which the connection comes up, and puts the endpoint into another group: sent
 // before the list is applied, the request could execute twice.
-TEST(Upstreams, SendNoAttemptThatIsWithdrawnInTheTurnOfItsConnection) {
+TEST(Upstreams, SendNoAttemptWithdrawnInThatTurn) {
   for (bool withdrawn : {true, false}) {
     UpstreamsFixture fixture;
     fixture.upstreams.start(1, EndpointIndex{0}, fixture.request, {.limit_ms = 500});
--- a/tests/testbed/http_client_test.cpp
+++ b/tests/testbed/http_client_test.cpp
@@ -56,7 +56,7 @@
 
 // Guards against a response that is there in time and counts as none, because the client's thread was held
 // between the end of its wait and its clock reading.
-TEST(HttpClient, ResponseThereBeforeTheTimeoutIsReadThoughTheThreadWasHeld) {
+TEST(HttpClient, ReadsBeforeItTimesOutAfterAHold) {
   ClientFixture f;
   f.send(100);
   f.run_until_received();
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 // Guards against turns whose work or delay is measured from the wrong moment.
-TEST(TurnMeter, MeasuresWorkFromTheBeginAndDelayFromTheDueTimeOrTheWait) {
+TEST(TurnMeter, MeasuresWorkAndDelay) {
   TurnMeter turns(1000);
   turns.turn_began(1020, 1035);  // due while it waited
   EXPECT_EQ(turns.current().late_ms, 15);
