--- a/review/common/balancer.hpp
+++ b/review/common/balancer.hpp
@@ -40,8 +40,8 @@
                       << R"(,"settings":)" << config.settings << "}\n";
 }
 
-// Starts the program of the deploy file. `folder` takes the configuration, the log and the program's files. The
-// process ends with the thread that started it, so this is called by the main thread.
+// Starts the program of the deploy file. `folder` takes the configuration, the log and the program's files.
+// The process ends with the thread that started it, so this is called by the main thread.
 inline std::unique_ptr<BalancerProcess> start_balancer(const std::string& root, const BalancerConfig& config,
                                                        const std::string& folder) {
   auto path = folder + "/" + config.name + ".json";
