--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -86,15 +86,17 @@
     if (request.target() == "/view/report")
       io = send_long_answer(connection);
     else
-      io = connection.send_all(head_of_answer(usual_answer_bytes) + answer_to(id, usual_answer_bytes), forever_ms);
+      io = connection.send_all(head_of_answer(usual_answer_bytes) + answer_to(id, usual_answer_bytes),
+                               forever_ms);
     if (io != Io::done) return;
   }
 }
 
 // Reads a long answer, slowly or, without the disruption, as fast as it comes.
-void read_long_answer(Record& record, const std::string& balancer, bool slowly, const std::atomic<bool>& ending,
-                      Counts& counts) {
-  ClientRequest request{.target = "/view/report", .id = new_id(), .key = {}, .budget_ms = budget_ms, .body = {}};
+void read_long_answer(Record& record, const std::string& balancer, bool slowly,
+                      const std::atomic<bool>& ending, Counts& counts) {
+  ClientRequest request{
+      .target = "/view/report", .id = new_id(), .key = {}, .budget_ms = budget_ms, .body = {}};
   Socket socket = connect_to(balancer, now_ms() + send_timeout_ms, slow_receive_buffer_bytes);
   if (!socket.open() || socket.send_all(request.text(), now_ms() + send_timeout_ms) != Io::done)
     return record.line("long answer: request %s could not be sent", request.id.c_str());
@@ -110,7 +112,8 @@
   record.line("long answer: request %s: %zu bytes read", request.id.c_str(), total);
 }
 
-// A client that keeps its connection. If that ends with no byte of an answer, it sends the request once more on a new one.
+// A client that keeps its connection. If that ends with no byte of an answer, it sends the request once more
+// on a new one.
 class UsualClient {
  public:
   UsualClient(Record& record, std::string balancer, Counts& counts)
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,5 +1,5 @@
-// One server of ten stands still in the middle of uploads. Each client of a request that was taken is owed one final
-// answer within its time.
+// One server of ten stands still in the middle of uploads. Each client of a request that was taken is owed
+// one final answer within its time.
 #include <atomic>
 #include <cstdlib>
 #include <functional>
@@ -9,15 +9,15 @@
 #include <thread>
 #include <vector>
 
-#include "client.hpp"
 #include "balancer.hpp"
+#include "client.hpp"
 #include "discovery.hpp"
 
 using namespace review;
 
 namespace {
 
-constexpr int servers = 10;           // one that stands still is 10% of them
+constexpr int servers = 10;  // one that stands still is 10% of them
 constexpr int uploads_per_round = 10;
 constexpr int rounds = 5;
 constexpr double round_interval_ms = 1500;
@@ -49,9 +49,9 @@
 
 // What happened to the uploads, counted over all threads.
 struct Counts {
-  std::atomic<int> not_taken = 0;  // their last byte could not be written
-  std::atomic<int> answered = 0;   // in time
-  std::atomic<int> lost = 0;       // no final answer in time
+  std::atomic<int> not_taken = 0;    // their last byte could not be written
+  std::atomic<int> answered = 0;     // in time
+  std::atomic<int> lost = 0;         // no final answer in time
   std::atomic<int> met_trouble = 0;  // taken, and begun at the server that stands still
 };
 
@@ -72,7 +72,8 @@
   std::set<std::string> ids_;
 };
 
-// A server that reads a request, works on it and answers. `stand_still`, if set, is called between the head and the body.
+// A server that reads a request, works on it and answers. `stand_still`, if set, is called between the head
+// and the body.
 void serve(Record& record, int number, const std::function<void(const std::string& id)>& stand_still,
            Socket& connection) {
   MessageReader reader(connection);
@@ -104,7 +105,8 @@
   auto outcome = send_request(balancer, request, send_timeout_ms, budget_ms + late_but_not_lost_ms);
   if (outcome.sent != Io::done) {
     ++counts.not_taken;
-    return record.line("client: request %s not taken: its last byte could not be written", request.id.c_str());
+    return record.line("client: request %s not taken: its last byte could not be written",
+                       request.id.c_str());
   }
   double after_ms = outcome.answered_at_ms - outcome.sent_at_ms;
   bool is_final = outcome.answered == Io::done && outcome.status > 0;
@@ -149,8 +151,9 @@
     hosts.push_back({.name = "s" + std::to_string(i), .address = fleet.back()->address(), .block = i});
   }
   Discovery discovery(hosts);
-  Balancer balancer(
-      command, {.discovery = discovery.address(), .known = discovery.whole_list(), .settings = settings}, record);
+  Balancer balancer(command,
+                    {.discovery = discovery.address(), .known = discovery.whole_list(), .settings = settings},
+                    record);
   if (!balancer.wait_ready(10000)) {
     record.line("the balancer does not become ready");
     return 2;
@@ -162,8 +165,9 @@
   sleep_ms(still_until_ms + 1000 - now_ms());
   bool crashed = !balancer.running();
   ending = true;
-  record.line("uploads: answered %d, lost %d, not taken %d; taken and begun at the server that stands still: %d",
-              counts.answered.load(), counts.lost.load(), counts.not_taken.load(), counts.met_trouble.load());
+  record.line(
+      "uploads: answered %d, lost %d, not taken %d; taken and begun at the server that stands still: %d",
+      counts.answered.load(), counts.lost.load(), counts.not_taken.load(), counts.met_trouble.load());
   if (crashed || counts.lost > 0) return 1;
   bool could_judge = counts.answered > 0 && (!trouble || counts.met_trouble > 0);
   return could_judge ? 0 : 2;
--- a/review/common-2/balancer.cpp
+++ b/review/common-2/balancer.cpp
@@ -44,19 +44,19 @@
   file << "{\"name\":\"" << setup.name << "\",\"listen\":\"" << listen_ << "\",\"discovery\":\""
        << setup.discovery << "\",\"seed\":\"8c1f30d27a5be964\","
        << "\"limits\":{\"cores\":1.0,\"memory_mb\":" << setup.memory_mb
-       << ",\"sockets\":1024},\"known\":" << setup.known
-       << ",\"settings\":" << setup.settings << "}\n";
+       << ",\"sockets\":1024},\"known\":" << setup.known << ",\"settings\":" << setup.settings << "}\n";
 }
 
-// The log of the process goes to a file in the temporary folder; REVIEW_LOG names another file, and then the log
-// has level debug.
+// The log of the process goes to a file in the temporary folder; REVIEW_LOG names another file, and then the
+// log has level debug.
 void Balancer::start(const std::string& command, const BalancerSetup& setup) {
   const char* log = std::getenv("REVIEW_LOG");
   std::string log_path = log ? log : folder_ + "/log.txt";
   std::string shell_command = log ? command + " --log-level debug" : command;
   pid_ = fork();
   if (pid_ < 0) throw std::runtime_error("cannot start the balancer");
-  if (pid_ > 0) return record_.line("balancer %s started, listens on %s", setup.name.c_str(), listen_.c_str());
+  if (pid_ > 0)
+    return record_.line("balancer %s started, listens on %s", setup.name.c_str(), listen_.c_str());
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   setenv("GW_NAME", setup.name.c_str(), 1);
   setenv("GW_LISTEN", listen_.c_str(), 1);
@@ -76,10 +76,11 @@
   while (now_ms() < until_ms && running()) {
     Socket socket = connect_to(listen_, now_ms() + 500);
     Message answer;
-    bool answered = socket.open() &&
-                    socket.send_all("GET /-/ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n",
-                                    now_ms() + 500) == Io::done &&
-                    MessageReader(socket).read(answer, now_ms() + 500) == Io::done;
+    bool answered =
+        socket.open() &&
+        socket.send_all("GET /-/ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n",
+                        now_ms() + 500) == Io::done &&
+        MessageReader(socket).read(answer, now_ms() + 500) == Io::done;
     if (answered && answer.status() == 200) return true;
     sleep_ms(50);
   }
--- a/review/common-2/client.hpp
+++ b/review/common-2/client.hpp
@@ -11,10 +11,11 @@
   std::string method = "GET";
   std::string target;
   std::string id;
-  std::string key;         // Idempotency-Key; empty: none
+  std::string key;  // Idempotency-Key; empty: none
   double budget_ms = 1000;
-  std::string body;        // of a POST
-  std::size_t chunk_bytes = 0;  // above 0: the body is sent in chunks of this size, else with a Content-Length
+  std::string body;  // of a POST
+  std::size_t chunk_bytes =
+      0;  // above 0: the body is sent in chunks of this size, else with a Content-Length
 
   // The whole request as it is sent.
   [[nodiscard]] std::string text() const;
@@ -22,11 +23,11 @@
 
 // The course of one request as its client saw it. Times are in ms of now_ms().
 struct ClientOutcome {
-  Io sent = Io::broken;          // of the whole request
-  double sent_at_ms = 0;         // when its last byte was written
-  Io answered = Io::timed_out;   // of the answer
-  double answered_at_ms = 0;     // when its last byte, or the end, came
-  int status = 0;                // 0: no head of an answer has come
+  Io sent = Io::broken;         // of the whole request
+  double sent_at_ms = 0;        // when its last byte was written
+  Io answered = Io::timed_out;  // of the answer
+  double answered_at_ms = 0;    // when its last byte, or the end, came
+  int status = 0;               // 0: no head of an answer has come
   std::string body;
 };
 
--- a/review/common-2/net.hpp
+++ b/review/common-2/net.hpp
@@ -44,8 +44,8 @@
 // Connects; the socket is not open on failure. `receive_buffer_bytes`: 0: as the system has it.
 Socket connect_to(const std::string& address, double until_ms, int receive_buffer_bytes = 0);
 
-// Listens on a free port of the loopback address `host`. `receive_buffer_bytes`: of the connections; 0: as the system
-// has it. Throws std::runtime_error.
+// Listens on a free port of the loopback address `host`. `receive_buffer_bytes`: of the connections; 0: as
+// the system has it. Throws std::runtime_error.
 Socket listen_on(const std::string& host, int backlog = 512, int receive_buffer_bytes = 0);
 
 // The address with the port that a socket is bound to, as "127.0.0.1:1234".
--- a/review/common-2/server.hpp
+++ b/review/common-2/server.hpp
@@ -18,8 +18,8 @@
  public:
   using Handler = std::function<void(Socket& connection)>;
 
-  // Listens on a free port of `host`, and calls `serve` for each connection. The connection is ended when `serve`
-  // returns. `receive_buffer_bytes`: see listen_on().
+  // Listens on a free port of `host`, and calls `serve` for each connection. The connection is ended when
+  // `serve` returns. `receive_buffer_bytes`: see listen_on().
   Server(const std::string& host, Handler serve, int receive_buffer_bytes = 0);
   ~Server() { stop(); }
   Server(const Server&) = delete;
