Review stand-ins: take out what only the dropped cases used

Cause: the parameters for slow readers, chunked uploads and the memory limit have no user left.

Change: review/common-2 and a line of review/6 that named one of them.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -100,8 +100,7 @@
                         .id = new_id(),
                         .key = {},
                         .budget_ms = budget_ms,
-                        .body = std::string(body_bytes, 'x'),
-                        .chunk_bytes = 0};
+                        .body = std::string(body_bytes, 'x')};
   auto outcome = send_request(balancer, request, send_timeout_ms, budget_ms + late_but_not_lost_ms);
   if (outcome.sent != Io::done) {
     ++counts.not_taken;
--- a/review/common-2/balancer.cpp
+++ b/review/common-2/balancer.cpp
@@ -43,8 +43,8 @@
   std::ofstream file(folder_ + "/config.json");
   file << "{\"name\":\"" << setup.name << "\",\"listen\":\"" << listen_ << "\",\"discovery\":\""
        << setup.discovery << "\",\"seed\":\"8c1f30d27a5be964\","
-       << "\"limits\":{\"cores\":1.0,\"memory_mb\":" << setup.memory_mb
-       << ",\"sockets\":1024},\"known\":" << setup.known << ",\"settings\":" << setup.settings << "}\n";
+       << "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":" << setup.known
+       << ",\"settings\":" << setup.settings << "}\n";
 }
 
 // The log of the process goes to a file in the temporary folder; REVIEW_LOG names another file, and then the
@@ -100,13 +100,6 @@
   return false;
 }
 
-double Balancer::peak_memory_mb() const {
-  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
-  for (std::string line; std::getline(file, line);)
-    if (line.starts_with("VmHWM:")) return std::atof(line.c_str() + 6) / 1024;
-  return 0;
-}
-
 // SIGTERM first, then SIGKILL.
 void Balancer::stop() {
   if (pid_ <= 0) return;
--- a/review/common-2/balancer.hpp
+++ b/review/common-2/balancer.hpp
@@ -15,7 +15,6 @@
   std::string discovery;
   std::string known;
   std::string settings;
-  int memory_mb = 192;
 };
 
 class Balancer {
@@ -35,8 +34,6 @@
   void signal(int number) const;
   // Whether the process still runs.
   bool running();
-  // Peak resident memory in MB; 0 if unknown.
-  [[nodiscard]] double peak_memory_mb() const;
 
  private:
   void write_configuration(const BalancerSetup& setup) const;
--- a/review/common-2/client.cpp
+++ b/review/common-2/client.cpp
@@ -6,28 +6,12 @@
 
 namespace review {
 
-namespace {
-
-std::string in_chunks(const std::string& body, std::size_t chunk_bytes) {
-  std::string text;
-  for (std::size_t at = 0; at < body.size(); at += chunk_bytes) {
-    auto piece = body.substr(at, chunk_bytes);
-    char size[20];
-    std::snprintf(size, sizeof size, "%zx\r\n", piece.size());
-    text += size + piece + "\r\n";
-  }
-  return text + "0\r\n\r\n";
-}
-
-}  // namespace
-
 std::string ClientRequest::text() const {
   std::string text = method + " " + target + " HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: " + id +
                      "\r\nX-Caller: acme\r\nX-Budget-Ms: " + std::to_string(static_cast<long>(budget_ms)) +
                      "\r\n";
   if (!key.empty()) text += "Idempotency-Key: " + key + "\r\n";
   if (method != "POST") return text + "\r\n";
-  if (chunk_bytes > 0) return text + "Transfer-Encoding: chunked\r\n\r\n" + in_chunks(body, chunk_bytes);
   return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
--- a/review/common-2/client.hpp
+++ b/review/common-2/client.hpp
@@ -14,8 +14,6 @@
   std::string key;  // Idempotency-Key; empty: none
   double budget_ms = 1000;
   std::string body;  // of a POST
-  std::size_t chunk_bytes =
-      0;  // above 0: the body is sent in chunks of this size, else with a Content-Length
 
   // The whole request as it is sent.
   [[nodiscard]] std::string text() const;
--- a/review/common-2/net.cpp
+++ b/review/common-2/net.cpp
@@ -26,10 +26,6 @@
   return parsed;
 }
 
-void set_receive_buffer(const Socket& socket, int bytes) {
-  if (bytes > 0) setsockopt(socket.fd(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
-}
-
 // Waits for one of the poll events. False: the time is over.
 bool wait_for(int fd, short events, double until_ms) {
   pollfd waited{.fd = fd, .events = events, .revents = 0};
@@ -53,13 +49,6 @@
   if (fd_ >= 0) ::close(std::exchange(fd_, -1));
 }
 
-void Socket::reset() {
-  if (fd_ < 0) return;
-  linger abortive{.l_onoff = 1, .l_linger = 0};
-  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abortive, sizeof abortive);
-  close();
-}
-
 void Socket::shut_down() {
   if (fd_ >= 0) shutdown(fd_, SHUT_RDWR);
 }
@@ -78,10 +67,10 @@
   return Io::done;
 }
 
-Io Socket::receive(std::string& to, double until_ms, std::size_t most) {
+Io Socket::receive(std::string& to, double until_ms) {
   std::array<char, 65536> buffer;
   for (;;) {
-    auto got = recv(fd_, buffer.data(), std::min(most, buffer.size()), MSG_DONTWAIT);
+    auto got = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (got > 0) {
       to.append(buffer.data(), static_cast<std::size_t>(got));
       return Io::done;
@@ -93,11 +82,10 @@
   }
 }
 
-Socket connect_to(const std::string& address, double until_ms, int receive_buffer_bytes) {
+Socket connect_to(const std::string& address, double until_ms) {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   int enable = 1;
   setsockopt(socket.fd(), IPPROTO_TCP, TCP_NODELAY, &enable, sizeof enable);
-  set_receive_buffer(socket, receive_buffer_bytes);
   auto to = parse_address(address);
   bool connected = connect(socket.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0;
   if (connected) return socket;
@@ -111,7 +99,8 @@
 
 Socket listen_on(const std::string& host, int backlog, int receive_buffer_bytes) {
   Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  set_receive_buffer(socket, receive_buffer_bytes);
+  if (receive_buffer_bytes > 0)
+    setsockopt(socket.fd(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
   auto at = parse_address(host + ":0");
   bool bound = bind(socket.fd(), reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0;
   if (!bound || listen(socket.fd(), backlog) != 0) throw std::runtime_error("cannot listen on " + host);
--- a/review/common-2/net.hpp
+++ b/review/common-2/net.hpp
@@ -27,22 +27,20 @@
   [[nodiscard]] bool open() const { return fd_ >= 0; }
   // Closes in an orderly way: the peer sees the end after what was sent.
   void close();
-  // Closes with a TCP reset.
-  void reset();
   // Ends the other threads' waits on this socket, without closing it.
   void shut_down();
 
   // Writes all bytes.
   Io send_all(std::string_view bytes, double until_ms);
-  // Appends the bytes that have come, `most` at the most, to `to`; waits for the first one.
-  Io receive(std::string& to, double until_ms, std::size_t most = 65536);
+  // Appends the bytes that have come to `to`; waits for the first one.
+  Io receive(std::string& to, double until_ms);
 
  private:
   int fd_ = -1;
 };
 
-// Connects; the socket is not open on failure. `receive_buffer_bytes`: 0: as the system has it.
-Socket connect_to(const std::string& address, double until_ms, int receive_buffer_bytes = 0);
+// Connects; the socket is not open on failure.
+Socket connect_to(const std::string& address, double until_ms);
 
 // Listens on a free port of the loopback address `host`. `receive_buffer_bytes`: of the connections; 0: as
 // the system has it. Throws std::runtime_error.
