--- a/review/common-2/discovery.cpp
+++ b/review/common-2/discovery.cpp
@@ -72,6 +72,7 @@
   }
 }
 
+// The first line holds what changed after that version, also if that is nothing, or the whole list.
 bool Discovery::serve_watch(Socket& connection, long after) {
   std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   if (connection.send_all(head, now_ms() + send_timeout_ms) != Io::done) return false;
@@ -79,7 +80,7 @@
   bool first = true;
   while (!stopping_) {
     bool whole = first && (after > version_ || after <= 0);
-    std::string line = whole || after != version_ ? list_after(whole ? 0 : after, whole) + "\n" : "\n";
+    std::string line = first || after != version_ ? list_after(whole ? 0 : after, whole) + "\n" : "\n";
     after = version_;
     first = false;
     lock.unlock();
