Uploads: the response is due one budget after the last byte may have come

Each 10 s the connection's deadline was set anew. Where the server went on, the answer came late by the time the byte lay unread.

Now the client's connection knows since when unread input may lie in its socket, and the response is due one budget after that: while reading is paused (event response_due, the attempt ends as never sent: 503) and once the body is complete. A read that finds the socket empty moves it, so clients that pause lose nothing; with a known length it moves while more is missing than both systems can hold. An attempt with a large body is no longer given up early (by reading).

--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -134,10 +134,12 @@
 
 // Decides whether a first attempt is given up early, so that a retry can still meet the latency objective.
 // Hedging must be off (a hedged request would serve instead), servers must report queue depths, a retry must
-// be possible (repeatable class, budget left), and 95% of the responses must be faster than the early limit.
+// be possible (repeatable class, a body that can be sent again, budget left), and 95% of the responses must
+// be faster than the early limit.
 bool RetryPolicy::should_give_up_early(const Request& request, double early_limit_ms) const {
   if (parts_.settings.hedging_enabled || !parts_.load.uses_load_reports()) return false;
-  if (request.attempt_count >= 2 || !parts_.classes.of(request).settings.repeatable()) return false;
+  if (request.large_body || request.attempt_count >= 2 || !parts_.classes.of(request).settings.repeatable())
+    return false;
   double p95_ms = parts_.outliers.p95_latency_ms();
   return p95_ms > 0 && p95_ms < early_limit_ms && !parts_.budget.is_spent();
 }
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -94,6 +94,8 @@
   [[nodiscard]] bool exceeds_buffer() const { return length_ && *length_ > max_buffered_body; }
   // The Content-Length; absent for chunked and close-delimited bodies.
   [[nodiscard]] std::optional<std::size_t> length() const { return length_; }
+  // The number of body bytes received so far, including those that move_body() has removed.
+  [[nodiscard]] std::size_t body_received() const { return body_total_; }
   // Whether the body ends when the connection closes (RFC 9112, 6.3).
   [[nodiscard]] bool close_delimited() const { return state_ == ParseState::until_close; }
   // To be called when the peer closes the connection in an orderly way. Completes a close-delimited response.
--- a/src/proxy/downstream/connection.hpp
+++ b/src/proxy/downstream/connection.hpp
@@ -64,6 +64,12 @@
   std::size_t body_bytes = 0;  // received
   // The time when reading paused because the buffer was full; 0: not paused.
   double paused_at_ms = 0;
+  // Since when unread bytes of the body may lie in the socket; 0: the last read found the socket empty.
+  double unread_since_ms = 0;
+  // Since when the last byte of the complete body may have lain in the socket.
+  double body_arrived_at_ms = 0;
+  // Time from the last byte of a request with a large body until its response is due.
+  double response_budget_ms = transport::DueTimes::none;
   int request_class = -1;
   Accounting accounting = Accounting::none;
 
--- a/src/proxy/downstream/connections.cpp
+++ b/src/proxy/downstream/connections.cpp
@@ -69,13 +69,22 @@
   }
   if (connection.state == Connection::State::reading && connection.request && connection.request->started())
     return respond_and_close(connection, 408);
-  if (connection.state == Connection::State::in_flight && connection.body_incoming) {
-    report_client_gone(connection);
-    return respond_and_close(connection, 408);
-  }
+  if (connection.state == Connection::State::in_flight && connection.body_incoming)
+    return body_deadline_reached(connection);
   close(connection);
 }
 
+// The client has not sent its body in time, unless reading is paused: then the response is due.
+void DownstreamConnections::body_deadline_reached(Connection& connection) {
+  if (connection.unread_since_ms > 0) {
+    clear_deadline(connection);
+    events_.push_back({.kind = DownstreamEvent::response_due, .client = connection.id});
+    return;
+  }
+  report_client_gone(connection);
+  respond_and_close(connection, 408);
+}
+
 // Sets the connection's deadline to `ms` from now; replaces the former deadline.
 void DownstreamConnections::set_deadline(Connection& connection, double ms) {
   due_.set(transport::due_key(due_kind, connection.id), connection.due_ms, now_ms_ + ms);
--- a/src/proxy/downstream/connections.hpp
+++ b/src/proxy/downstream/connections.hpp
@@ -29,7 +29,10 @@
     request_received,  // the request is complete, or its body exceeds the buffer
     body_received,     // more bytes, or the end, of a body that exceeds the buffer
     response_taken,    // part of a streamed response was moved to the connection's send queue
-    client_gone        // the client left, timed out or sent a malformed body before the final response
+    // The response is due although the body is incomplete: reading has paused, and the body's last byte may
+    // have lain in the socket for the whole response budget.
+    response_due,
+    client_gone  // the client left, timed out or sent a malformed body before the final response
   } kind = request_received;
   ClientId client = 0;
   SharedMessage message = {};  // with request_received only
@@ -79,6 +82,12 @@
   void abort_response(ClientId id);
   // The buffered part of the request's body has been forwarded: continues to read the body.
   void request_body_forwarded(ClientId id);
+  // Sets the time from the last byte of the client's request until the response is due. For requests whose
+  // body exceeds the buffer.
+  void set_response_budget(ClientId id, double budget_ms);
+  // When the last byte of the client's complete body may have arrived at the earliest: the bytes may have
+  // lain in the socket while a full buffer kept the balancer from reading.
+  [[nodiscard]] double body_arrived_at_ms(ClientId id) const;
   // Sets the class under which the client's request is counted; -1: not counted.
   void set_request_class(ClientId id, int request_class);
 
@@ -138,6 +147,9 @@
   static bool continue_if_expected(Connection& connection);
   void read_request_body(Connection& connection);
   bool parse_request_body(Connection& connection);
+  void pause_request_body(Connection& connection);
+  void note_unread_input(Connection& connection) const;
+  void body_deadline_reached(Connection& connection);
   void request_body_complete(Connection& connection);
   bool receive(Connection& connection);
   bool feed(Connection& connection);
--- a/src/proxy/downstream/requests.cpp
+++ b/src/proxy/downstream/requests.cpp
@@ -20,6 +20,8 @@
 constexpr double body_grace_ms = 800;
 constexpr double max_body_grace_ms = 400;
 constexpr double min_body_bytes_per_ms = 32;
+// The most bytes that a client's system is assumed to hold for a connection before they reach this one.
+constexpr std::size_t max_peer_send_buffer_bytes = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -100,17 +102,19 @@
   for (int i = 0; i < reads_per_turn; ++i) {
     while (!connection.stream.bytes().empty())
       if (!parse_request_body(connection)) return;
-    if (!receive(connection)) return;
+    if (!receive(connection)) {
+      if (connection.stream.drained()) connection.unread_since_ms = 0;
+      return;
+    }
   }
+  note_unread_input(connection);
   connection.stream.again(EPOLLIN);
 }
 
 // Parses the received part of a body. False: the body is complete or malformed, or no buffer is free.
 bool DownstreamConnections::parse_request_body(Connection& connection) {
   if (connection.request->buffer_full()) {
-    // Pauses reading. The client does not cause the wait, so request_body_forwarded() extends the deadline.
-    connection.paused_at_ms = now_ms_;
-    set_deadline(connection, send_stall_ms);
+    pause_request_body(connection);
     return false;
   }
   bool fed = feed(connection);
@@ -129,7 +133,42 @@
   return fed;
 }
 
+// Pauses reading until part of the buffered body is forwarded. The client does not cause the wait, so
+// request_body_forwarded() extends its deadline. Until then the connection's deadline is that of the
+// response.
+void DownstreamConnections::pause_request_body(Connection& connection) {
+  note_unread_input(connection);
+  connection.paused_at_ms = now_ms_;
+  set_deadline(connection, connection.unread_since_ms + connection.response_budget_ms - now_ms_);
+}
+
+// Records that the socket may hold the body's last byte from now on. It does not yet if more bytes are
+// missing than both systems can hold between client and balancer.
+void DownstreamConnections::note_unread_input(Connection& connection) const {
+  if (connection.unread_since_ms == 0) connection.unread_since_ms = now_ms_;
+  const auto& request = *connection.request;
+  auto missing_bytes =
+      request.length().value_or(0) - std::min(request.length().value_or(0), request.body_received());
+  if (missing_bytes > max_peer_send_buffer_bytes + connection.stream.unread_bytes())
+    connection.unread_since_ms = now_ms_;
+}
+
+void DownstreamConnections::set_response_budget(ClientId id, double budget_ms) {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  auto& connection = *it->second;
+  connection.response_budget_ms = budget_ms;
+  if (connection.body_incoming && connection.paused_at_ms > 0)
+    set_deadline(connection, connection.unread_since_ms + budget_ms - now_ms_);
+}
+
+double DownstreamConnections::body_arrived_at_ms(ClientId id) const {
+  auto it = connections_.find(id);
+  return it == connections_.end() ? now_ms_ : it->second->body_arrived_at_ms;
+}
+
 void DownstreamConnections::request_body_complete(Connection& connection) {
+  connection.body_arrived_at_ms = connection.unread_since_ms > 0 ? connection.unread_since_ms : now_ms_;
   connection.body_incoming = false;
   connection.request.reset();
   if (connection.accounting == Connection::Accounting::awaiting_body) count_in_flight(connection);
@@ -159,6 +198,9 @@
   connection.http_1_0 = connection.request->is_http_1_0();
   connection.body_incoming = !connection.request->complete();
   connection.body_event_pending = false;
+  connection.paused_at_ms = 0;
+  connection.unread_since_ms = 0;
+  connection.response_budget_ms = transport::DueTimes::none;
   connection.head_only = connection.request->method() == "HEAD";
   connection.continue_sent = false;
   connection.has_sent_request = true;
--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -1,13 +1,13 @@
 #include "proxy/request/forwarder.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 #include "protocol/load_report.hpp"
 #include "protocol/names.hpp"
 #include "protocol/target.hpp"
+#include "proxy/request/attempt_ids.hpp"
+#include "proxy/request/retry_after.hpp"
 
 namespace meadowgauge::proxy {
 
@@ -15,33 +15,17 @@
 
 namespace {
 
-// Timeout of a health check or load probe.
-constexpr double probe_limit_ms = 1000;
 // Time reserved for a response to reach the client after its last byte is written.
 constexpr double delivery_delay_ms = 2;
 // Deadline while a request's body is being received. DownstreamConnections enforces the client's progress.
 constexpr double max_body_ms = 3600000;
 
-// Set in the AttemptId of a health check or load probe.
-constexpr AttemptId probe_bit = AttemptId{1} << 55;
-
-AttemptId attempt_id(RequestNumber number, int attempt) {
-  return to_integer(number) << attempt_number_bits | static_cast<AttemptId>(attempt);
-}
-RequestNumber request_number_of(AttemptId id) { return RequestNumber{id >> attempt_number_bits}; }
-
 // The HTTP status of the final response if the last attempt had this outcome.
 int failure_status(Outcome outcome) {
   if (outcome == Outcome::timeout) return 504;
   return outcome == Outcome::error ? 500 : 502;
 }
 
-std::string retry_after_header(double ms) {
-  std::array<char, 48> text{};
-  std::snprintf(text.data(), text.size(), "Retry-After: %.3f\r\n", ms / 1000);
-  return text.data();
-}
-
 }  // namespace
 
 RequestForwarder::RequestForwarder(const Parts& parts, Logger log)
@@ -69,6 +53,8 @@
       return body_received(event.client);
     case DownstreamEvent::response_taken:
       return response_taken(event.client);
+    case DownstreamEvent::response_due:
+      return response_due(event.client);
     case DownstreamEvent::client_gone:
       return client_gone(event.client);
   }
@@ -105,16 +91,16 @@
 
 void RequestForwarder::dispatch(DownstreamEvent& event, const AdmittedRequest& admitted) {
   downstream_.set_request_class(event.client, admitted.request_class);
-  Request request{
-      .request_class = admitted.request_class,
-      .tenant = admitted.tenant,
-      .arrived_ms = now_ms_,
-      .deadline_ms = admitted.body_incoming ? now_ms_ + max_body_ms : response_due_ms(admitted.budget_ms),
-      .client_retry = admitted.client_retry,
-      .work_ms = admitted.work_ms,
-      .key = admitted.key,
-      .large_body = admitted.body_incoming,
-      .body_incoming = admitted.body_incoming};
+  Request request{.request_class = admitted.request_class,
+                  .tenant = admitted.tenant,
+                  .arrived_ms = now_ms_,
+                  .deadline_ms = admitted.body_incoming ? now_ms_ + max_body_ms
+                                                        : response_due_ms(now_ms_, admitted.budget_ms),
+                  .client_retry = admitted.client_retry,
+                  .work_ms = admitted.work_ms,
+                  .key = admitted.key,
+                  .large_body = admitted.body_incoming,
+                  .body_incoming = admitted.body_incoming};
   RequestNumber number{next_number_++};
   unanswered_ids_.insert(event.message->find(names::request_id));
   in_flight_.emplace(number, InFlightRequest{.client = event.client,
@@ -124,6 +110,8 @@
                                              .request_class = admitted.request_class,
                                              .body_incoming = admitted.body_incoming});
   unanswered_[event.client] = number;
+  if (admitted.body_incoming)
+    downstream_.set_response_budget(event.client, admitted.budget_ms - delivery_delay_ms);
   requests_.request_arrived(number, request, now_ms_);
   if (request_filter_ && last_rejected_ == number)
     request_filter_->release(admitted.tenant, admitted.request_class);
@@ -131,11 +119,12 @@
 
 // A graceful shutdown fails unanswered requests before the process exits. The policy and the endpoint must
 // see the time that is left until that failure, not the client's whole budget.
-double RequestForwarder::response_due_ms(double budget_ms) const {
-  return std::min(now_ms_ + budget_ms - delivery_delay_ms, shutdown_.responses_due_ms());
+double RequestForwarder::response_due_ms(double arrived_ms, double budget_ms) const {
+  return std::min(arrived_ms + budget_ms - delivery_delay_ms, shutdown_.responses_due_ms());
 }
 
-// Forwards newly received bytes of the request's body. The time budget starts with the last byte.
+// Forwards newly received bytes of the request's body. The time budget starts with the last byte, which may
+// have lain in the socket for a while before it was read.
 void RequestForwarder::body_received(ClientId client) {
   auto it = unanswered_.find(client);
   if (it == unanswered_.end()) return;
@@ -144,7 +133,7 @@
   auto id = attempt_id(number, request.latest_attempt);
   if (request.body_incoming && request.message->complete()) {
     request.body_incoming = false;
-    request.due_ms = response_due_ms(request.budget_ms);
+    request.due_ms = response_due_ms(downstream_.body_arrived_at_ms(client), request.budget_ms);
     upstreams_.set_limit(id, requests_.body_complete(number, request.due_ms, now_ms_));
   }
   upstreams_.continue_request(id);
@@ -157,6 +146,18 @@
   upstreams_.resume_response(attempt_id(it->second, in_flight_.at(it->second).latest_attempt));
 }
 
+// The response is due before the endpoint has taken the request's body. The attempt's last byte is not
+// written, so it ends as never sent.
+void RequestForwarder::response_due(ClientId client) {
+  auto it = unanswered_.find(client);
+  if (it == unanswered_.end()) return;
+  auto number = it->second;
+  const auto& request = in_flight_.at(number);
+  requests_.deadline_passed(number, now_ms_);
+  bool expired = request.latest_attempt >= 0 && upstreams_.expire(attempt_id(number, request.latest_attempt));
+  if (!expired) requests_.decision_due(number, now_ms_);
+}
+
 // The client has closed its connection, or its sending side, before the final response.
 void RequestForwarder::client_gone(ClientId client) {
   auto it = unanswered_.find(client);
@@ -335,65 +336,4 @@
 
 void RequestForwarder::released(RequestNumber number) { in_flight_.erase(number); }
 
-void RequestForwarder::carry_out() {
-  for (auto& command : std::exchange(commands_, {})) std::visit([this](auto& c) { execute(c); }, command);
-}
-
-void RequestForwarder::execute(const StartAttempt& command) {
-  auto id = attempt_id(command.request, command.attempt);
-  // Later in the turn of the decision, the request was answered or its client left.
-  if (!requests_.is_open(command.request)) {
-    upstreams_.events().push_back({.attempt = id,
-                                   .endpoint = command.endpoint,
-                                   .outcome = Outcome::superseded,
-                                   .started_at_ms = now_ms_});
-    return;
-  }
-  auto& request = in_flight_.at(command.request);
-  upstreams_.start(id, command.endpoint, request.message,
-                   {.limit_ms = command.limit_ms,
-                    .send_by_ms = command.send_by_ms,
-                    .streaming_budget_ms = request.budget_ms});
-}
-
-void RequestForwarder::execute(const LimitSending& command) {
-  upstreams_.limit_sending(attempt_id(command.request, command.attempt), command.send_by_ms);
-}
-
-void RequestForwarder::execute(const StartProbe& command) {
-  upstreams_.start_health_check(probe_bit | static_cast<AttemptId>(command.endpoint), command.endpoint,
-                                settings_.load_probes ? names::upstream_load : names::upstream_health,
-                                probe_limit_ms);
-}
-
-// Reports `cancelled` only if the attempt was still in flight: a completed attempt has its own event.
-void RequestForwarder::execute(const CancelAttempt& command) {
-  auto id = attempt_id(command.request, command.attempt);
-  if (upstreams_.cancel(id))
-    upstreams_.events().push_back({.attempt = id, .endpoint = no_endpoint, .outcome = Outcome::cancelled});
-}
-
-void RequestForwarder::execute(const SendResponse& command) {
-  downstream_.send_response(command.client, *command.response);
-}
-
-void RequestForwarder::execute(BeginResponse& command) {
-  downstream_.begin_response(command.client, std::move(command.response));
-}
-
-void RequestForwarder::execute(const ContinueResponse& command) {
-  downstream_.continue_response(command.client);
-}
-
-void RequestForwarder::execute(const AbortResponse& command) { downstream_.abort_response(command.client); }
-
-void RequestForwarder::execute(const Reject& command) {
-  downstream_.respond(command.client, 503,
-                      command.retry_after_ms > 0 ? retry_after_header(command.retry_after_ms) : "", "");
-}
-
-void RequestForwarder::execute(const Fail& command) {
-  downstream_.respond(command.client, command.status, "", "");
-}
-
 }  // namespace meadowgauge::proxy
--- a/src/proxy/request/forwarder.hpp
+++ b/src/proxy/request/forwarder.hpp
@@ -153,6 +153,7 @@
   void dispatch(DownstreamEvent& event, const AdmittedRequest& admitted);
   void body_received(ClientId client);
   void response_taken(ClientId client);
+  void response_due(ClientId client);
   void client_gone(ClientId client);
 
   // From upstreams.
@@ -166,8 +167,8 @@
   void log_further_attempt(RequestNumber number, int attempt, EndpointIndex endpoint,
                            const AttemptTimeout& timeout) const;
   void log_client_gone(RequestNumber number) const;
-  // When the final response to a request with this budget is due.
-  [[nodiscard]] double response_due_ms(double budget_ms) const;
+  // When the final response to a request with this budget is due. `arrived_ms`: when its last byte arrived.
+  [[nodiscard]] double response_due_ms(double arrived_ms, double budget_ms) const;
   // The client of an unanswered request; absent if the request is answered or its client has left.
   [[nodiscard]] std::optional<ClientId> unanswered_client(RequestNumber number) const;
   ClientId close_request(RequestNumber number);
--- a/src/proxy/request/table.cpp
+++ b/src/proxy/request/table.cpp
@@ -105,6 +105,10 @@
   return schedule_decision(number, entry, now_ms).limit_ms;
 }
 
+void RequestTable::deadline_passed(RequestNumber number, double now_ms) {
+  if (auto it = requests_.find(number); it != requests_.end()) it->second.request.deadline_ms = now_ms;
+}
+
 void RequestTable::body_forwarded(RequestNumber number) {
   if (auto it = requests_.find(number); it != requests_.end()) it->second.request.body_forwarded = true;
 }
--- a/src/proxy/request/table.hpp
+++ b/src/proxy/request/table.hpp
@@ -79,6 +79,9 @@
   // The last byte of a streamed request body has been received. `deadline_ms`: the request's new deadline, as
   // its time budget starts now. Returns the time limit of the current attempt, in ms from now.
   double body_complete(RequestNumber number, double deadline_ms, double now_ms);
+  // The response is due although the request's body is incomplete: the deadline is now. The caller then ends
+  // the attempt in flight, or calls decision_due().
+  void deadline_passed(RequestNumber number, double now_ms);
   // The endpoint list has changed: withdraws unsent attempts at endpoints that are no longer permitted.
   void endpoints_updated();
   // Part of the body has been forwarded and is no longer buffered, so the request can't be retried.
--- a/src/proxy/upstream/upstreams.cpp
+++ b/src/proxy/upstream/upstreams.cpp
@@ -140,6 +140,16 @@
   set_due(entry, entry->second.timeout_at_ms());
 }
 
+bool Upstreams::expire(AttemptId id) {
+  auto entry = attempts_.find(id);
+  if (entry == attempts_.end()) return false;
+  bool sent = entry->second.is_sent();
+  release_connection(entry);
+  connections_.close_idle_if_silent(entry->second.endpoint(), entry->second.started_at_ms());
+  complete(entry, sent ? Outcome::timeout : Outcome::unreachable);
+  return true;
+}
+
 bool Upstreams::cancel(AttemptId id) {
   auto entry = attempts_.find(id);
   if (entry == attempts_.end()) return false;
--- a/src/proxy/upstream/upstreams.hpp
+++ b/src/proxy/upstream/upstreams.hpp
@@ -78,6 +78,9 @@
   // Requires that the request's last byte is written within `send_by_ms` from now, else the attempt ends as
   // never sent. No effect on a sent request or if an earlier deadline is set.
   void limit_sending(AttemptId id, double send_by_ms);
+  // Ends an attempt because its response is due: as never sent if its last byte is not written, otherwise as
+  // timed out. False: the attempt is over.
+  bool expire(AttemptId id);
   // Continues to read the response after the client has received its buffered part.
   void resume_response(AttemptId id);
   // Sets the deadline of a streamed response that fits in the buffer.
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -1,6 +1,7 @@
 #include "transport/stream.hpp"
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -67,6 +68,7 @@
 
 Stream::ReadResult Stream::fill() {
   if (!fd_) return ReadResult::broken;
+  drained_ = false;
   if (unread_begin_ == unread_end_) unread_begin_ = unread_end_ = 0;
   if (unread_end_ == buffer_size) return ReadResult::nothing;
   if (!input_ && !(input_ = pool_->take())) {
@@ -82,10 +84,17 @@
     if (n < 0 && errno == EINTR) continue;
     if (unread_begin_ == unread_end_) input_ = {};
     if (n == 0) return ReadResult::end;
-    return errno == EAGAIN || errno == EWOULDBLOCK ? ReadResult::nothing : ReadResult::broken;
+    drained_ = errno == EAGAIN || errno == EWOULDBLOCK;
+    return drained_ ? ReadResult::nothing : ReadResult::broken;
   }
 }
 
+std::size_t Stream::unread_bytes() const {
+  int bytes = 0;
+  if (ioctl(fd_.get(), FIONREAD, &bytes) != 0) return 0;
+  return static_cast<std::size_t>(bytes);
+}
+
 std::string_view Stream::bytes() const {
   return input_ ? std::string_view(input_.data() + unread_begin_, unread_end_ - unread_begin_)
                 : std::string_view{};
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -37,6 +37,10 @@
   // Reads once into the input buffer; call it until the result is `nothing`. `nothing` means EAGAIN, a full
   // buffer, or no free buffer in the pool; in the last case the owner is notified again.
   ReadResult fill();
+  // Whether the last fill() found the socket without unread input.
+  [[nodiscard]] bool drained() const { return drained_; }
+  // The number of bytes that the socket has received and fill() has not read.
+  [[nodiscard]] std::size_t unread_bytes() const;
   // Makes fill() read the kernel's receive timestamps. arrived_ms() stays 0 where they are not supported.
   void record_arrivals();
   // When the kernel received the last bytes that fill() read, in ms of Unix time; 0 if unknown.
@@ -74,6 +78,7 @@
   Buffer input_;
   std::size_t unread_begin_ = 0;  // bytes() is [unread_begin_, unread_end_) of input_
   std::size_t unread_end_ = 0;
+  bool drained_ = true;
   Chain output_;
   bool records_arrivals_ = false;
   double arrived_ms_ = 0;
--- /dev/null
+++ b/tests/e2e/upload_deadline_test.cpp
@@ -0,0 +1,121 @@
+// When the response to a request with a large body is due: its time counts from the client's last byte, also
+// while the endpoint does not take the body and the balancer does not read it. The test acts as the clients
+// and the upstreams.
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fixtures/http_messages.hpp"
+#include "fixtures/proxy_process.hpp"
+#include "fixtures/waiting.hpp"
+
+namespace meadowgauge::test {
+namespace {
+
+constexpr int budget_ms = 1000;
+// A response that comes later than this after its time is lost.
+constexpr int max_lateness_ms = 500;
+// More than the systems between client and upstream hold if the upstream does not read.
+constexpr std::size_t stuck_body_bytes = 600'000;
+
+std::string upload(std::size_t body_bytes, bool chunked, int budget) {
+  std::string body(body_bytes, 'u');
+  if (!chunked) return http_request("/pay", budget, body);
+  auto head = http_request("/pay", budget, "");
+  head.replace(head.find("Content-Length: 0"), 17, "Transfer-Encoding: chunked");
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+  return head + size + body + "\r\n0\r\n\r\n";
+}
+
+// An upstream of which a client's system holds only a few bytes, and the program that forwards to it.
+struct SlowUpstream {
+  ListeningSocket listener{1024, small_receive_buffer};
+  ProxyProcess proxy{{.upstreams = 0}, endpoint_list(1, true, {endpoint_entry(0, listener.address())})};
+};
+
+// Guards against an upload without any response: its upstream stops reading, and the balancer stops as well.
+TEST(UploadDeadline, UploadAtAStuckUpstreamIsAnsweredInTime) {
+  for (bool chunked : {false, true}) {
+    SlowUpstream slow;
+    auto client = slow.proxy.connect();
+    auto text = upload(stuck_body_bytes, chunked, budget_ms);
+    std::thread sender([&] { client.send(text); });
+    auto upstream = slow.listener.accept();
+    upstream.receive_some();
+    sender.join();
+    auto sent_at = Clock::now();
+    EXPECT_EQ(status_of(client.receive_message()), 503) << "the upstream has no whole request";
+    EXPECT_LT(Clock::now() - sent_at, ms(budget_ms + max_lateness_ms));
+    upstream.receive_until_end();
+    EXPECT_TRUE(upstream.was_reset() || !upstream.alive());
+  }
+}
+
+// Guards against a time budget that begins when the balancer reads the last byte: the byte lay in the socket
+// while the upstream took the body slowly.
+TEST(UploadDeadline, TimeInTheSocketCountsForAnUploadThatIsTakenSlowly) {
+  SlowUpstream slow;
+  auto client = slow.proxy.connect();
+  auto text = upload(stuck_body_bytes, false, budget_ms);
+  std::thread sender([&] { client.send(text); });
+  auto upstream = slow.listener.accept();
+  sender.join();
+  auto sent_at = Clock::now();
+  sleep_until(sent_at + ms(budget_ms / 2));
+  std::thread reader([&] { upstream.receive_until_end(); });  // takes the rest, and does not respond
+  EXPECT_GE(status_of(client.receive_message()), 500);
+  EXPECT_LT(Clock::now() - sent_at, ms(budget_ms + max_lateness_ms / 2));
+  reader.join();
+}
+
+// Guards against a time budget that begins before the client's last byte: a client may pause for longer.
+TEST(UploadDeadline, ClientThatPausesWithinItsBodyKeepsItsWholeBudget) {
+  ProxyProcess proxy({.upstreams = 1});
+  auto client = proxy.connect();
+  auto text = upload(stuck_body_bytes, false, budget_ms);
+  client.send(text.substr(0, text.size() - 1));
+  auto upstream = proxy.upstreams[0].accept();
+  std::thread server([&] {
+    upstream.receive_message();
+    sleep_until(Clock::now() + ms(budget_ms * 3 / 4));
+    upstream.send(ok_response);
+  });
+  sleep_until(Clock::now() + ms(budget_ms * 3 / 2));
+  client.send(text.substr(text.size() - 1));
+  EXPECT_EQ(status_of(client.receive_message()), 200);
+  server.join();
+}
+
+// Guards against ending an upload that its upstream takes steadily, for longer than the time budget: its last
+// byte can't be written yet.
+TEST(UploadDeadline, UploadTakenSteadilyIsServedHoweverLongItTakes) {
+  constexpr std::size_t body_bytes = std::size_t{32} * 1024 * 1024;
+  constexpr int parts = 16;
+  constexpr int part_interval_ms = 250;  // 8 MiB per second
+  ProxyProcess proxy({.upstreams = 1});
+  auto client = proxy.connect();
+  auto text = upload(body_bytes, false, 2 * budget_ms);
+  std::thread sender([&] { client.send(text); });
+  auto upstream = proxy.upstreams[0].accept();
+  std::thread server([&] {
+    std::size_t received = 0;
+    auto begin = Clock::now();
+    for (int part = 1; part <= parts; ++part) {
+      while (received < text.size() * static_cast<std::size_t>(part) / parts - 1000 &&
+             upstream.receive_some())
+        received += upstream.take_received().size();
+      sleep_until(begin + ms(part * part_interval_ms));
+    }
+    upstream.send(ok_response);
+  });
+  EXPECT_EQ(status_of(client.receive_message()), 200);
+  sender.join();
+  server.join();
+}
+
+}  // namespace
+}  // namespace meadowgauge::test
