--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <cmath>
 #include <system_error>
+#include <utility>
 
 namespace meadowgauge::transport {
 namespace {
@@ -35,27 +36,34 @@
   return e.data.u64;
 }
 
+Loop::Slot* Loop::find_slot(std::uint64_t token) {
+  auto& slot = slots_[static_cast<std::uint32_t>(token)];
+  return slot.handler && slot.generation == token >> 32 ? &slot : nullptr;
+}
+
 void Loop::remove(std::uint64_t token, int fd) {
-  auto slot = static_cast<std::uint32_t>(token);
-  if (slots_[slot].generation != token >> 32 || !slots_[slot].handler) return;
+  auto* slot = find_slot(token);
+  if (!slot) return;
   epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
-  slots_[slot].handler = nullptr;
-  prioritized_slots_ -= slots_[slot].is_prioritized ? 1 : 0;
-  ++slots_[slot].generation;  // invalidates remaining events of this batch
-  free_slots_.push_back(slot);
+  slot->handler = nullptr;
+  slot->repeated_events = 0;
+  prioritized_slots_ -= slot->is_prioritized ? 1 : 0;
+  ++slot->generation;  // invalidates remaining events of this batch
+  free_slots_.push_back(static_cast<std::uint32_t>(token));
 }
 
+// One entry for each registration: a handler that asks twice in each notification must not be notified twice
+// as often in each batch.
 void Loop::again(std::uint64_t token, std::uint32_t events) {
-  epoll_event e{};
-  e.events = events;
-  e.data.u64 = token;
-  repeated_events_.push_back(e);
+  auto* slot = find_slot(token);
+  if (!slot) return;
+  if (slot->repeated_events == 0) repeated_.push_back(token);
+  slot->repeated_events |= events;
 }
 
 void Loop::wait(double max_wait_ms) {
-  int ms = !repeated_events_.empty()
-               ? 0
-               : static_cast<int>(std::ceil(std::clamp(max_wait_ms, 0.0, max_single_wait_ms)));
+  int ms =
+      !repeated_.empty() ? 0 : static_cast<int>(std::ceil(std::clamp(max_wait_ms, 0.0, max_single_wait_ms)));
   event_count_ = epoll_wait(epoll_.get(), events_.data(), max_events, ms);
   // After an interruption, for example by SIGSTOP and SIGCONT, polls once more, so that pending events are
   // handled before expired timers.
@@ -66,7 +74,7 @@
 }
 
 void Loop::dispatch() {
-  batch_.swap(repeated_events_);
+  add_repeated_events();
   for (int i = 0; i < event_count_; ++i) batch_.push_back(events_[static_cast<std::size_t>(i)]);
   event_count_ = 0;
   if (prioritized_slots_ > 0)
@@ -75,10 +83,20 @@
   batch_.clear();
 }
 
+void Loop::add_repeated_events() {
+  for (auto token : std::exchange(repeated_, {})) {
+    auto* slot = find_slot(token);
+    if (!slot) continue;
+    epoll_event e{};
+    e.events = std::exchange(slot->repeated_events, 0);
+    e.data.u64 = token;
+    batch_.push_back(e);
+  }
+}
+
 void Loop::notify(const epoll_event& e, bool is_prioritized) {
-  const auto& slot = slots_[static_cast<std::uint32_t>(e.data.u64)];
-  if (slot.handler && slot.generation == e.data.u64 >> 32 && slot.is_prioritized == is_prioritized)
-    slot.handler->ready(e.events);
+  const auto* slot = find_slot(e.data.u64);
+  if (slot && slot->is_prioritized == is_prioritized) slot->handler->ready(e.events);
 }
 
 }  // namespace meadowgauge::transport
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -190,6 +190,29 @@
   EXPECT_EQ(c.n, 1);
 }
 
+// Guards against memory and work that double with each batch: a handler that waits for a resource asks for
+// its event several times in each notification.
+TEST(Loop, CombinesRepeatedEventsOfARegistration) {
+  Loop loop;
+  int p[2];
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, p), 0);
+  Fd first_near(p[0]), first_far(p[1]);
+  Counter c;
+  auto token = loop.add(first_near.get(), c, EPOLLIN);
+  c.then = [&] {
+    loop.again(token, EPOLLIN);
+    loop.again(token, EPOLLOUT);
+  };
+  c.then();
+  for (int batch = 1; batch <= 20; ++batch) {
+    c.seen = 0;
+    loop.wait(60000);
+    loop.dispatch();
+    ASSERT_EQ(c.n, batch);
+    EXPECT_EQ(c.seen & (EPOLLIN | EPOLLOUT), static_cast<std::uint32_t>(EPOLLIN | EPOLLOUT));
+  }
+}
+
 // A pair of connected streams over loopback.
 struct Pair {
   Pool pool{64};
