Buffer pool: a reserve for what each connection needs, waiters in order, bounded streams

Who holds buffers, now: one buffer for each connection that may be open is reserved for essential uses (a head, a short message, the part of a body that is moving), so none waits for another connection, whatever the others hold; the rest goes to bodies and unread input as long as there is some. A message that can't be buffered further is streamed: its request is forwarded early, or its response begins. Bodies move in parts, at most 32 KiB are queued, sockets are read only as far as there is room, unread input stays in the socket, and a request's message goes as soon as no attempt can follow. Waiters queue at the pool and are called once a buffer is back. A client that stops within its body gets 408 after 2.5 s of silence, not after the time that its bytes have earned (up to 32 s for each MB).

--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -46,11 +46,17 @@
 
   // `pool` must outlive the message.
   Message(transport::Pool& pool, Kind kind, Body body = Body::buffered)
-      : kind_(kind), body_(body), bytes_(pool) {}
+      : kind_(kind),
+        body_(body),
+        bytes_(pool,
+               body == Body::streaming ? transport::BufferUse::shared : transport::BufferUse::essential) {}
 
   // Consumes the bytes of `in` that belong to this message and returns their number. The number is smaller
   // than in.size() if the message is complete, has a fault, or has a streaming body and no buffer space.
   std::size_t feed(std::string_view in);
+  // For a streaming body: how many bytes feed() is sure to consume now, at least. Takes a buffer if needed.
+  // 0: see buffer_full() and out_of_buffers().
+  [[nodiscard]] std::size_t make_room();
   // Prepares for the next message. Releases the buffers and invalidates all views.
   void reset();
   // Must be called before parsing a response to HEAD, which may state a length but has no body.
@@ -83,10 +89,13 @@
 
   // The number of buffered body bytes.
   [[nodiscard]] std::size_t body_size() const { return bytes_.size() - head_size_; }
-  // For a streaming body: whether `max_buffered_body` bytes are buffered.
-  [[nodiscard]] bool buffer_full() const { return body_size() >= max_buffered_body; }
-  // For a streaming body: whether the last feed() stopped because the pool had no buffer. The
-  // call can be retried later.
+  // For a streaming body: whether `max_buffered_body` bytes are buffered, or fewer if the pool has no buffer
+  // for more. move_body() makes room.
+  [[nodiscard]] bool buffer_full() const {
+    return body_size() >= max_buffered_body || (out_of_buffers_ && head_complete() && body_size() > 0);
+  }
+  // For a streaming body: whether the last feed() or make_room() found no buffer in the pool. The call can be
+  // retried later.
   [[nodiscard]] bool out_of_buffers() const { return out_of_buffers_; }
   // Whether move_body() has removed part of the body, so that the message cannot be sent again.
   [[nodiscard]] bool partly_forwarded() const { return partly_forwarded_; }
@@ -100,9 +109,13 @@
   [[nodiscard]] bool close_delimited() const { return state_ == ParseState::until_close; }
   // To be called when the peer closes the connection in an orderly way. Completes a close-delimited response.
   void connection_closed();
-  // Moves the buffered part of the body to `out`, as one chunk if `chunked`. Moves nothing if the pool is out
-  // of buffers.
-  MoveResult move_body(transport::Chain& out, bool chunked);
+  // Moves the buffered part of the body to `out`, in chunks if `chunked`: until `out` has `max_queued_bytes`
+  // or more, or as much as there are buffers for. `out_of_buffers`: there is none, and nothing was moved.
+  MoveResult move_body(transport::Chain& out, bool chunked, std::size_t max_queued_bytes = std::string::npos);
+  // Copies the buffered body from `offset` on to `out`, with the same limits as move_body(). Returns the
+  // number of bytes.
+  std::size_t copy_body(transport::Chain& out, bool chunked, std::size_t offset,
+                        std::size_t max_queued_bytes) const;
   // Calls f(std::string_view) for each contiguous segment of the buffered body.
   template <class F>
   void for_each_body_segment(F&& f) const {
@@ -124,6 +137,7 @@
     complete
   };
 
+  std::size_t copy_piece(transport::Chain& out, bool chunked, std::size_t offset) const;
   bool feed_body(std::string_view& in);
   bool feed_head_line(std::string_view& in);
   bool feed_framing_line(std::string_view& in);
--- a/src/proxy/balancer.cpp
+++ b/src/proxy/balancer.cpp
@@ -26,8 +26,9 @@
       turns_(now_ms_),
       log_(std::move(log)),
       proxy_settings_(read_proxy_settings(setup.settings, log_)),
-      descriptors_(descriptors_without_admin_server(setup.descriptors, setup.mgmt.has_value())),
-      buffers_(setup.memory_mb * 1024 * 1024 / 2 / transport::buffer_size),
+      buffers_(buffers_within_memory(setup.memory_mb)),
+      descriptors_(descriptors_within_buffers(
+          descriptors_without_admin_server(setup.descriptors, setup.mgmt.has_value()), buffers_)),
       pool_(buffers_),
       policy_(setup.settings, setup.seed, now_ms_),
       upstreams_({.loop = loop,
@@ -67,6 +68,7 @@
       endpoint_list_received_(!setup.discovery),
       tick_at_ms_(now_ms_),
       sweep_at_ms_(now_ms_) {
+  pool_.set_reserve(reserved_buffers(divide_descriptors(descriptors_)));
   counters_.request_classes.resize(proxy_settings_.request_classes.size());
   endpoints_.use_cached(setup.known, now_ms_);
   discovery_.start();
@@ -88,6 +90,7 @@
     upstreams_.destroy_closed();
     downstream_.destroy_closed();
     discovery_.destroy_closed();
+    pool_.notify_waiters();
     turns_.turn_ended(clock_.now());
     log_slow_turn();
   }
@@ -249,6 +252,7 @@
   };
   auto budget = divide_descriptors(share_of(descriptors_));
   pool_.set_max_buffers(share_of(buffers_));
+  pool_.set_reserve(reserved_buffers(budget));
   upstreams_.set_max_connections(budget.upstream);
   downstream_.set_limits({.max_served = budget.downstream, .max_overflow = budget.downstream_overflow});
 }
--- a/src/proxy/balancer.hpp
+++ b/src/proxy/balancer.hpp
@@ -39,7 +39,7 @@
   bool defer_listening = false;                 // binds in the constructor, listens in listen()
   std::uint64_t seed = 1;
   std::size_t descriptors = 1024;  // limit of open file descriptors
-  std::size_t memory_mb = 192;     // memory limit; half of it is for buffers
+  std::size_t memory_mb = 192;     // memory limit
   // Duration of the drain after SIGTERM, in ms; absent: the maximum client timeout, up to a bound.
   std::optional<double> leave_ms;
   Settings settings;
@@ -120,8 +120,8 @@
   transport::TurnMeter turns_;
   Logger log_;
   ProxySettings proxy_settings_;
-  std::size_t descriptors_;  // limit while no other process runs beside this one
   std::size_t buffers_;      // limit while no other process runs beside this one
+  std::size_t descriptors_;  // limit while no other process runs beside this one
   transport::Pool pool_;
   RequestCounters counters_;
   transport::DueTimes due_;
--- a/src/proxy/downstream/connections.hpp
+++ b/src/proxy/downstream/connections.hpp
@@ -26,7 +26,7 @@
 // An event of a client connection, collected for the loop turn.
 struct DownstreamEvent {
   enum Kind : std::uint8_t {
-    request_received,  // the request is complete, or its body exceeds the buffer
+    request_received,  // the request is complete, or its body exceeds the buffer or the buffers left
     body_received,     // more bytes, or the end, of a body that exceeds the buffer
     response_taken,    // part of a streamed response was moved to the connection's send queue
     // The response is due although the body is incomplete: reading has paused, and the body's last byte may
@@ -68,8 +68,8 @@
   [[nodiscard]] std::vector<DownstreamEvent>& events() { return events_; }
 
   // Sends the response to the client's request in flight. No effect if the client is gone or its request is
-  // answered. If the pool has no buffers left, sends a bare 500 and closes the connection.
-  void send_response(ClientId id, const protocol::Message& response);
+  // answered. If the pool has no buffers left, sends the response in parts like a streamed one.
+  void send_response(ClientId id, SharedMessage response);
   // Sends a response of the proxy itself. `header_lines`: further header lines, each with its line end.
   void respond(ClientId id, int status, std::string_view header_lines, std::string_view body);
   // Sends a response without a body, and closes the connection after it.
@@ -147,11 +147,13 @@
   static bool continue_if_expected(Connection& connection);
   void read_request_body(Connection& connection);
   bool parse_request_body(Connection& connection);
+  void set_body_deadline(Connection& connection);
   void pause_request_body(Connection& connection);
   void note_unread_input(Connection& connection) const;
   void body_deadline_reached(Connection& connection);
   void request_body_complete(Connection& connection);
   bool receive(Connection& connection);
+  void request_out_of_room(Connection& connection);
   bool feed(Connection& connection);
   void request_received(Connection& connection);
 
--- a/src/proxy/downstream/requests.cpp
+++ b/src/proxy/downstream/requests.cpp
@@ -20,6 +20,8 @@
 constexpr double body_grace_ms = 800;
 constexpr double max_body_grace_ms = 400;
 constexpr double min_body_bytes_per_ms = 32;
+// A body is overdue after this time without any byte, however many were received before.
+constexpr double max_body_silence_ms = 2500;
 // The most bytes that a client's system is assumed to hold for a connection before they reach this one.
 constexpr std::size_t max_peer_send_buffer_bytes = std::size_t{4} * 1024 * 1024;
 
@@ -35,7 +37,7 @@
   connection.stream.again(EPOLLIN);
 }
 
-// Parses the received part of a request. False: the request is complete or malformed, or no buffer is free.
+// Parses the received part of a request. False: the request is received or malformed, or no buffer is free.
 bool DownstreamConnections::parse_request(Connection& connection) {
   if (!connection.request)
     connection.request = std::make_shared<Message>(pool_, Message::Kind::request, Message::Body::streaming);
@@ -54,7 +56,7 @@
     request_received(connection);
     return false;
   }
-  if (!fed) connection.stream.again(EPOLLIN);
+  if (!fed) connection.stream.wait_for_buffer(EPOLLIN);
   return fed;
 }
 
@@ -76,15 +78,31 @@
   return connection.stream.out().append("HTTP/1.1 100 Continue\r\n\r\n") && connection.stream.flush();
 }
 
-// Receives more bytes. False: none have arrived, or the connection has ended and is closed, which drops an
+// Receives more bytes, no more than the request has room for, so that unread input holds no buffer. False:
+// none have arrived, or there is no room, or the connection has ended and is closed, which drops an
 // incomplete request.
 bool DownstreamConnections::receive(Connection& connection) {
-  auto got = connection.stream.fill();
+  auto room = connection.request ? connection.request->make_room() : transport::buffer_size;
+  if (room == 0) {
+    request_out_of_room(connection);
+    return false;
+  }
+  auto got = connection.stream.fill(room);
   if (got == Stream::ReadResult::bytes) return true;
+  if (connection.stream.drained()) connection.unread_since_ms = 0;
   if (got != Stream::ReadResult::nothing) close(connection);
   return false;
 }
 
+// The request can't store more of its body. What is buffered is forwarded, which makes room; without any of
+// it the connection waits for a buffer.
+void DownstreamConnections::request_out_of_room(Connection& connection) {
+  bool can_forward = connection.request->buffer_full();
+  if (!can_forward) connection.stream.wait_for_buffer(EPOLLIN);
+  if (connection.state == Connection::State::in_flight) return pause_request_body(connection);
+  if (can_forward) request_received(connection);
+}
+
 // Parses the received bytes and extends the body's deadline accordingly. False: the pool has no free buffer.
 bool DownstreamConnections::feed(Connection& connection) {
   auto parsed_bytes = connection.request->feed(connection.stream.bytes());
@@ -92,20 +110,27 @@
   if (connection.request->out_of_buffers()) return false;
   if (!connection.request->head_complete() || connection.body_due_base_ms == 0) return true;
   connection.body_bytes += parsed_bytes;
-  set_deadline(connection, connection.body_due_base_ms +
-                               static_cast<double>(connection.body_bytes) / min_body_bytes_per_ms - now_ms_);
+  set_body_deadline(connection);
   return true;
 }
 
+// Called when bytes of a body are received, and when reading is resumed after a pause.
+void DownstreamConnections::set_body_deadline(Connection& connection) {
+  double earned_ms = static_cast<double>(connection.body_bytes) / min_body_bytes_per_ms;
+  set_deadline(connection, std::min(connection.body_due_base_ms + earned_ms - now_ms_, max_body_silence_ms));
+}
+
 // Reads more of a body whose request is in flight.
 void DownstreamConnections::read_request_body(Connection& connection) {
+  // The client has not caused a pause, so the pause extends its deadline.
+  if (connection.paused_at_ms > 0) {
+    connection.body_due_base_ms += now_ms_ - std::exchange(connection.paused_at_ms, 0);
+    set_body_deadline(connection);
+  }
   for (int i = 0; i < reads_per_turn; ++i) {
     while (!connection.stream.bytes().empty())
       if (!parse_request_body(connection)) return;
-    if (!receive(connection)) {
-      if (connection.stream.drained()) connection.unread_since_ms = 0;
-      return;
-    }
+    if (!receive(connection)) return;
   }
   note_unread_input(connection);
   connection.stream.again(EPOLLIN);
@@ -113,10 +138,6 @@
 
 // Parses the received part of a body. False: the body is complete or malformed, or no buffer is free.
 bool DownstreamConnections::parse_request_body(Connection& connection) {
-  if (connection.request->buffer_full()) {
-    pause_request_body(connection);
-    return false;
-  }
   bool fed = feed(connection);
   if (connection.request->fault() != Fault::none) {
     report_client_gone(connection);
@@ -129,13 +150,12 @@
     request_body_complete(connection);
     return false;
   }
-  if (!fed) connection.stream.again(EPOLLIN);
+  if (!fed) request_out_of_room(connection);
   return fed;
 }
 
-// Pauses reading until part of the buffered body is forwarded. The client does not cause the wait, so
-// request_body_forwarded() extends its deadline. Until then the connection's deadline is that of the
-// response.
+// Pauses reading until part of the buffered body is forwarded. Meanwhile the connection's deadline is that of
+// the response.
 void DownstreamConnections::pause_request_body(Connection& connection) {
   note_unread_input(connection);
   connection.paused_at_ms = now_ms_;
@@ -182,8 +202,6 @@
   auto& connection = *it->second;
   connection.body_event_pending = false;
   if (connection.state != Connection::State::in_flight || !connection.body_incoming) return;
-  if (connection.paused_at_ms > 0)
-    connection.body_due_base_ms += now_ms_ - std::exchange(connection.paused_at_ms, 0);
   read_request_body(connection);
 }
 
--- a/src/proxy/downstream/responses.cpp
+++ b/src/proxy/downstream/responses.cpp
@@ -37,13 +37,15 @@
   return is_unanswered ? it->second.get() : nullptr;
 }
 
-void DownstreamConnections::send_response(ClientId id, const Message& response) {
+void DownstreamConnections::send_response(ClientId id, SharedMessage response) {
   auto* found = find_unanswered(id);
   if (!found) return;
   auto& connection = *found;
   connection.status = 200;
-  start_sending(connection,
-                protocol::write_response(connection.stream.out(), response, is_last_response(connection)));
+  if (protocol::write_response(connection.stream.out(), *response, is_last_response(connection)))
+    return start_sending(connection, true);
+  connection.stream.out().clear();
+  begin_response(id, std::move(response));
 }
 
 void DownstreamConnections::respond(ClientId id, int status, std::string_view header_lines,
@@ -112,7 +114,8 @@
     if (!connection.stream.flush()) return close(connection);
     if (connection.stream.out().size() < before) set_deadline(connection, send_stall_ms);
     if (connection.response_ended || connection.stream.out().size() >= max_queued_bytes) break;
-    auto result = connection.response->move_body(connection.stream.out(), connection.chunked);
+    auto result =
+        connection.response->move_body(connection.stream.out(), connection.chunked, max_queued_bytes);
     moved = moved || result == Message::MoveResult::moved;
     if (result == Message::MoveResult::moved) continue;
     out_of_buffers = result == Message::MoveResult::out_of_buffers;
@@ -123,7 +126,9 @@
   }
   if (moved && !connection.response->complete())
     events_.push_back({.kind = DownstreamEvent::response_taken, .client = connection.id});
-  if (out_of_buffers) return connection.stream.again(EPOLLOUT);
+  // Queued bytes make room once they are sent, which epoll reports.
+  if (out_of_buffers && connection.stream.flushed()) connection.stream.wait_for_buffer(EPOLLOUT);
+  if (out_of_buffers) return;
   if (!connection.response_ended) return;
   connection.response.reset();
   continue_sending(connection);
--- a/src/proxy/request/commands.cpp
+++ b/src/proxy/request/commands.cpp
@@ -55,8 +55,8 @@
     upstreams_.events().push_back({.attempt = id, .endpoint = no_endpoint, .outcome = Outcome::cancelled});
 }
 
-void RequestForwarder::execute(const SendResponse& command) {
-  downstream_.send_response(command.client, *command.response);
+void RequestForwarder::execute(SendResponse& command) {
+  downstream_.send_response(command.client, std::move(command.response));
 }
 
 void RequestForwarder::execute(BeginResponse& command) {
--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -102,13 +102,15 @@
                   .large_body = admitted.body_incoming,
                   .body_incoming = admitted.body_incoming};
   RequestNumber number{next_number_++};
-  unanswered_ids_.insert(event.message->find(names::request_id));
-  in_flight_.emplace(number, InFlightRequest{.client = event.client,
-                                             .message = std::move(event.message),
-                                             .budget_ms = admitted.budget_ms,
-                                             .due_ms = request.deadline_ms,
-                                             .request_class = admitted.request_class,
-                                             .body_incoming = admitted.body_incoming});
+  auto& in_flight = in_flight_[number];
+  in_flight = {.client = event.client,
+               .id = std::string(event.message->find(names::request_id)),
+               .message = std::move(event.message),
+               .budget_ms = admitted.budget_ms,
+               .due_ms = request.deadline_ms,
+               .request_class = admitted.request_class,
+               .body_incoming = admitted.body_incoming};
+  unanswered_ids_.insert(in_flight.id);
   unanswered_[event.client] = number;
   if (admitted.body_incoming)
     downstream_.set_response_budget(event.client, admitted.budget_ms - delivery_delay_ms);
@@ -163,11 +165,12 @@
   auto it = unanswered_.find(client);
   if (it == unanswered_.end()) return;  // the final response is being sent
   auto number = it->second;
-  const auto& request = in_flight_.at(number);
+  auto& request = in_flight_.at(number);
   // A streaming body can't complete without the client: cancel its attempt whatever the policy decides.
   bool body_streams = request.body_incoming || requests_.is_responding(number);
   unanswered_.erase(it);
-  unanswered_ids_.erase(request.message->find(names::request_id));
+  unanswered_ids_.erase(request.id);
+  request.message.reset();
   log_client_gone(number);
   requests_.client_left(number, now_ms_);
   abandon_unsent_attempts(number);
@@ -183,7 +186,7 @@
          "graceful shutdown: unanswered requests failed: " + std::to_string(unanswered_.size()),
          {{"requests", static_cast<double>(unanswered_.size())}});
   for (auto [client, number] : std::exchange(unanswered_, {})) {
-    unanswered_ids_.erase(in_flight_.at(number).message->find(names::request_id));
+    unanswered_ids_.erase(in_flight_.at(number).id);
     requests_.client_left(number, now_ms_);
     abandon_unsent_attempts(number);
     downstream_.respond(client, 500, "", "");
@@ -225,6 +228,7 @@
   if (!client || !requests_.is_open(number)) return cancel_attempt(number, attempt);
   auto& request = in_flight_.at(number);
   request.latest_attempt = attempt;
+  request.message.reset();  // no further attempt follows
   if (!admission_.classes()[static_cast<std::size_t>(request.request_class)].streamed)
     upstreams_.set_response_due(event.attempt, request.due_ms);
   requests_.response_started(number, attempt, now_ms_);
@@ -256,7 +260,7 @@
   if (auto it = in_flight_.find(number); it != in_flight_.end()) {
     auto& request = it->second;
     request.failure_status = failure_status(event.outcome);
-    if (request.message->partly_forwarded()) requests_.body_forwarded(number);
+    if (request.message && request.message->partly_forwarded()) requests_.body_forwarded(number);
     streaming = requests_.is_responding(number) && request.latest_attempt == attempt;
   }
   // Forwarding a response needs no policy decision: attempt_ended() below reports the request as closed.
@@ -283,10 +287,11 @@
 // Called once the final response to a request is decided: removes the request from the unanswered requests
 // and ends its unsent attempts. Returns its client.
 ClientId RequestForwarder::close_request(RequestNumber number) {
-  const auto& request = in_flight_.at(number);
+  auto& request = in_flight_.at(number);
   abandon_unsent_attempts(number);
   unanswered_.erase(request.client);
-  unanswered_ids_.erase(request.message->find(names::request_id));
+  unanswered_ids_.erase(request.id);
+  request.message.reset();
   return request.client;
 }
 
--- a/src/proxy/request/forwarder.hpp
+++ b/src/proxy/request/forwarder.hpp
@@ -70,7 +70,8 @@
   // state.
   struct InFlightRequest {
     ClientId client = 0;
-    SharedMessage message;
+    std::string id = {};
+    SharedMessage message = {};  // null once no further attempt can follow: its buffers serve other requests
     double budget_ms = 0;
     double due_ms = 0;  // when the final response is due
     int request_class = 0;
@@ -139,7 +140,7 @@
   void execute(const LimitSending& command);
   void execute(const StartProbe& command);
   void execute(const CancelAttempt& command);
-  void execute(const SendResponse& command);
+  void execute(SendResponse& command);
   void execute(BeginResponse& command);
   void execute(const ContinueResponse& command);
   void execute(const AbortResponse& command);
@@ -191,7 +192,7 @@
 
   std::unordered_map<RequestNumber, InFlightRequest> in_flight_;
   std::unordered_map<ClientId, RequestNumber> unanswered_;  // by client
-  std::unordered_set<std::string_view> unanswered_ids_;     // views into messages of in_flight_
+  std::unordered_set<std::string_view> unanswered_ids_;     // views into in_flight_
   std::vector<Command> commands_;
   std::uint64_t next_number_ = 1;
   std::optional<RequestNumber> last_rejected_;
--- a/src/proxy/request/log.cpp
+++ b/src/proxy/request/log.cpp
@@ -4,13 +4,10 @@
 #include <cmath>
 #include <string>
 
-#include "protocol/names.hpp"
 #include "proxy/request/forwarder.hpp"
 
 namespace meadowgauge::proxy {
 
-namespace names = protocol::names;
-
 namespace {
 
 std::string_view outcome_name(Outcome outcome) {
@@ -31,7 +28,7 @@
   ++counters_.request_classes[request_class].reasons[static_cast<std::size_t>(reason)];
   if (!log_.wants(Level::debug)) return;
   auto reason_name = reason_names[static_cast<std::size_t>(reason)];
-  auto id = request.message->find(names::request_id);
+  const std::string_view id = request.id;
   const auto& class_name = settings_.request_classes[request_class].name;
   log_(Level::debug,
        std::string("request ").append(id) + " of " + class_name + " " + std::string(outcome) + ": " +
@@ -65,7 +62,7 @@
   if (attempt == 0 || !log_.wants(Level::debug)) return;
   auto judgement = requests_.repeat_judgement(number, now_ms_);
   auto basis = repeat_basis_names[static_cast<std::size_t>(judgement.basis)];
-  auto id = in_flight_.at(number).message->find(names::request_id);
+  const std::string_view id = in_flight_.at(number).id;
   const auto& name = upstreams_.endpoints().name(endpoint);
   log_(Level::debug,
        std::string("request ").append(id) + ": attempt " + std::to_string(attempt) + " to " + name +
--- a/src/proxy/upstream/exchange.cpp
+++ b/src/proxy/upstream/exchange.cpp
@@ -11,6 +11,7 @@
 namespace meadowgauge::proxy {
 
 using protocol::Message;
+using transport::DueTimes;
 using transport::Stream;
 using State = UpstreamConnection::State;
 
@@ -81,6 +82,7 @@
       ++requests_sent_;
       log_request_sent(id, attempt);
     }
+    attempt.request().release_message();
   }
   return result != SendResult::broken;
 }
@@ -114,7 +116,9 @@
 void Upstreams::read_response(UpstreamConnection& connection, AttemptEntry entry) {
   for (int i = 0; i < max_reads_per_turn; ++i) {
     if (!parse_received(connection, entry)) return;
-    auto got = connection.stream().fill();
+    auto room = room_for_response(connection, entry);
+    if (room == 0) return;
+    auto got = connection.stream().fill(room);
     if (got == Stream::ReadResult::nothing) return;
     if (got == Stream::ReadResult::end && connection.response().close_delimited()) {
       connection.response().connection_closed();
@@ -157,7 +161,7 @@
       break;
     }
     if (response.out_of_buffers()) {
-      stream.again(EPOLLIN);
+      stream.wait_for_buffer(EPOLLIN);
       break;
     }
   }
@@ -165,6 +169,25 @@
   return attempt.phase() != UpstreamAttempt::Phase::response_paused && !response.out_of_buffers();
 }
 
+// How many bytes may be read. 0: the attempt is over, or reading goes on when the client has taken part of
+// the response or when the pool has a buffer. A response that can't be buffered further is streamed.
+std::size_t Upstreams::room_for_response(UpstreamConnection& connection, AttemptEntry entry) {
+  auto& attempt = entry->second;
+  auto& response = connection.response();
+  auto room = response.make_room();
+  if (room > 0) return room;
+  if (!response.buffer_full()) {
+    connection.stream().wait_for_buffer(EPOLLIN);
+  } else if (is_invalid(response, attempt)) {
+    response_invalid(connection, entry);
+  } else {
+    if (!attempt.streams_response()) stream_response(connection, entry);
+    attempt.pause_response();
+    set_due(entry, DueTimes::none);
+  }
+  return 0;
+}
+
 // Streams a response whose head announces a body that exceeds the buffer. stream_held_responses() streams
 // responses of unknown length later.
 void Upstreams::response_head_received(UpstreamConnection& connection, AttemptEntry entry) {
--- a/src/transport/pool.cpp
+++ b/src/transport/pool.cpp
@@ -5,12 +5,13 @@
 
 namespace meadowgauge::transport {
 
-Buffer::Buffer(Buffer&& o) noexcept : owner_(o.owner_), bytes_(std::move(o.bytes_)) {}
+Buffer::Buffer(Buffer&& o) noexcept : owner_(o.owner_), use_(o.use_), bytes_(std::move(o.bytes_)) {}
 
 Buffer& Buffer::operator=(Buffer&& o) noexcept {
   if (this != &o) {
     return_to_pool();
     owner_ = o.owner_;
+    use_ = o.use_;
     bytes_ = std::move(o.bytes_);
   }
   return *this;
@@ -21,14 +22,19 @@
 void Buffer::return_to_pool() {
   if (!bytes_) return;
   --owner_->lent_;
+  if (use_ == BufferUse::shared) --owner_->lent_shared_;
   owner_->idle_buffers_.push_back(std::move(bytes_));
 }
 
-Buffer Pool::take() {
+Buffer Pool::take(BufferUse use) {
   if (lent_ >= max_buffers_) return {};
+  if (use == BufferUse::shared) {
+    if (lent_shared_ + reserve_ >= max_buffers_) return {};
+    ++lent_shared_;
+  }
   ++lent_;
-  if (idle_buffers_.empty()) return {this, std::make_unique_for_overwrite<Buffer::Block>()};
-  Buffer b{this, std::move(idle_buffers_.back())};
+  if (idle_buffers_.empty()) return {this, use, std::make_unique_for_overwrite<Buffer::Block>()};
+  Buffer b{this, use, std::move(idle_buffers_.back())};
   idle_buffers_.pop_back();
   return b;
 }
@@ -39,17 +45,34 @@
     idle_buffers_.resize(idle_buffers_.size() - (idle_buffers_.size() - idle_reserve + 1) / 2);
 }
 
+void Pool::wait(BufferWaiter& waiter) {
+  if (std::ranges::find(waiters_, &waiter) == waiters_.end()) waiters_.push_back(&waiter);
+}
+
+void Pool::stop_waiting(BufferWaiter& waiter) { waiters_.remove(&waiter); }
+
+void Pool::notify_waiters() {
+  for (auto available = max_buffers_ - std::min(max_buffers_, lent_); available > 0 && !waiters_.empty();
+       --available) {
+    auto* waiter = waiters_.front();
+    waiters_.pop_front();
+    waiter->buffer_available();
+  }
+}
+
+bool Chain::add_buffer(BufferUse further_use) {
+  auto b = pool_->take(buffers_.empty() ? BufferUse::essential : further_use);
+  if (!b) return false;
+  buffers_.push_back(std::move(b));
+  return true;
+}
+
 bool Chain::append(std::string_view bytes) {
-  auto capacity = buffers_.size() * buffer_size - start_ - size_;
   auto old_count = buffers_.size();
-  while (capacity < bytes.size()) {
-    auto b = pool_->take();
-    if (!b) {
-      buffers_.resize(old_count);
-      return false;
-    }
-    buffers_.push_back(std::move(b));
-    capacity += buffer_size;
+  while (room() < bytes.size()) {
+    if (add_buffer(further_use_)) continue;
+    buffers_.resize(old_count);
+    return false;
   }
   while (!bytes.empty()) {
     auto at = start_ + size_;
@@ -70,6 +93,32 @@
   start_ = size_ == 0 ? 0 : start_ % buffer_size;
 }
 
+std::size_t Chain::make_room(std::size_t min_bytes, BufferUse use) {
+  if (room() < min_bytes) static_cast<void>(add_buffer(use));
+  return room();
+}
+
+Chain::Segment Chain::segment_at(std::size_t offset) const {
+  auto at = start_ + offset;
+  return {.data = buffers_[at / buffer_size].data() + at % buffer_size,
+          .size = std::min(buffer_size - at % buffer_size, size_ - offset)};
+}
+
+void Chain::erase(std::size_t from, std::size_t n) {
+  from = std::min(from, size_);
+  n = std::min(n, size_ - from);
+  auto to = from;
+  for (auto source = from + n; source < size_;) {
+    auto target = segment_at(to);
+    auto origin = segment_at(source);
+    auto length = std::min(target.size, origin.size);
+    std::memmove(target.data, origin.data, length);
+    to += length;
+    source += length;
+  }
+  truncate_to(size_ - n);
+}
+
 void Chain::truncate_to(std::size_t n) {
   size_ = std::min(size_, n);
   buffers_.resize((start_ + size_ + buffer_size - 1) / buffer_size);
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -5,10 +5,12 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
 #include <ctime>
+#include <utility>
 
 namespace meadowgauge::transport {
 
@@ -47,7 +49,8 @@
 }
 
 ssize_t Stream::receive(char* to, std::size_t size) {
-  if (!records_arrivals_) return recv(fd_.get(), to, size, 0);
+  int flags = peeks_ ? MSG_PEEK : 0;
+  if (!records_arrivals_) return recv(fd_.get(), to, size, flags);
   iovec part{.iov_base = to, .iov_len = size};
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timespec))> control{};
   msghdr message{};
@@ -55,7 +58,7 @@
   message.msg_iovlen = 1;
   message.msg_control = control.data();
   message.msg_controllen = control.size();
-  auto n = recvmsg(fd_.get(), &message, 0);
+  auto n = recvmsg(fd_.get(), &message, flags);
   for (auto* header = n > 0 ? CMSG_FIRSTHDR(&message) : nullptr; header;
        header = CMSG_NXTHDR(&message, header)) {
     if (header->cmsg_level != SOL_SOCKET || header->cmsg_type != SCM_TIMESTAMPNS) continue;
@@ -66,17 +69,25 @@
   return n;
 }
 
-Stream::ReadResult Stream::fill() {
+bool Stream::take_input_buffer() {
+  input_ = pool_->take(BufferUse::shared);
+  peeks_ = !input_;
+  if (!input_) input_ = pool_->take(BufferUse::essential);
+  return static_cast<bool>(input_);
+}
+
+Stream::ReadResult Stream::fill(std::size_t max_bytes) {
   if (!fd_) return ReadResult::broken;
   drained_ = false;
-  if (unread_begin_ == unread_end_) unread_begin_ = unread_end_ = 0;
-  if (unread_end_ == buffer_size) return ReadResult::nothing;
-  if (!input_ && !(input_ = pool_->take())) {
-    again(EPOLLIN);  // the bytes stay in the socket until the pool has a free buffer
+  if (peeks_ || unread_begin_ == unread_end_) unread_begin_ = unread_end_ = 0;
+  auto space = std::min(max_bytes, buffer_size - unread_end_);
+  if (space == 0) return ReadResult::nothing;
+  if (!input_ && !take_input_buffer()) {
+    wait_for_buffer(EPOLLIN);  // the bytes stay in the socket until then
     return ReadResult::nothing;
   }
   for (;;) {
-    auto n = receive(input_.data() + unread_end_, buffer_size - unread_end_);
+    auto n = receive(input_.data() + unread_end_, space);
     if (n > 0) {
       unread_end_ += static_cast<std::size_t>(n);
       return ReadResult::bytes;
@@ -101,6 +112,11 @@
 }
 
 void Stream::consume(std::size_t n) {
+  if (peeks_ && n > 0) {
+    // Takes the consumed bytes from the socket. The rest is read again.
+    static_cast<void>(recv(fd_.get(), input_.data(), n, 0));
+    n = unread_end_ - unread_begin_;
+  }
   unread_begin_ += n;
   if (unread_begin_ < unread_end_) return;
   unread_begin_ = unread_end_ = 0;
@@ -128,6 +144,14 @@
   return true;
 }
 
+void Stream::wait_for_buffer(std::uint32_t events) {
+  if (!fd_) return;
+  awaited_events_ |= events;
+  pool_->wait(*this);
+}
+
+void Stream::buffer_available() { again(std::exchange(awaited_events_, 0)); }
+
 void Stream::end_sending() {
   if (fd_) shutdown(fd_.get(), SHUT_WR);
 }
@@ -136,6 +160,7 @@
   if (!fd_) return;
   loop_->remove(token_, fd_.get());
   fd_.close();
+  pool_->stop_waiting(*this);
   output_.clear();
   input_ = {};
   unread_begin_ = unread_end_ = 0;
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -12,12 +12,12 @@
 // A non-blocking TCP connection with one input buffer and an output queue. The owner is notified of its
 // events, which are edge-triggered: reads and writes continue until EAGAIN. Loop, pool and owner must outlive
 // the stream.
-class Stream {
+class Stream final : BufferWaiter {
  public:
   // Result of fill().
   enum class ReadResult : std::uint8_t {
     bytes,    // bytes were added to bytes()
-    nothing,  // see fill()
+    nothing,  // nothing to read, or no space; see drained()
     end,      // the peer has ended its side
     broken    // the stream is closed or the socket failed
   };
@@ -34,9 +34,10 @@
   // The result of dial(), valid once the socket is writable: 0 or an errno value.
   [[nodiscard]] int dial_error() const;
 
-  // Reads once into the input buffer; call it until the result is `nothing`. `nothing` means EAGAIN, a full
-  // buffer, or no free buffer in the pool; in the last case the owner is notified again.
-  ReadResult fill();
+  // Reads once into the input buffer, at most `max_bytes`; call it until the result is `nothing`. Without a
+  // free buffer in the pool the owner is notified of EPOLLIN when there is one. Where the pool has no shared
+  // buffer, bytes that the owner does not consume at once stay in the socket, and fill() gives them again.
+  ReadResult fill(std::size_t max_bytes = buffer_size);
   // Whether the last fill() found the socket without unread input.
   [[nodiscard]] bool drained() const { return drained_; }
   // The number of bytes that the socket has received and fill() has not read.
@@ -63,12 +64,16 @@
 
   // Notifies the owner again; see Loop::again().
   void again(std::uint32_t events) { loop_->again(token_, events); }
+  // Notifies the owner of `events` when the pool has a free buffer again.
+  void wait_for_buffer(std::uint32_t events);
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   void close();
   // Closes with a TCP reset.
   void reset();
 
  private:
+  void buffer_available() override;
+  [[nodiscard]] bool take_input_buffer();
   ssize_t receive(char* to, std::size_t size);
 
   Loop* loop_;
@@ -78,7 +83,10 @@
   Buffer input_;
   std::size_t unread_begin_ = 0;  // bytes() is [unread_begin_, unread_end_) of input_
   std::size_t unread_end_ = 0;
+  // The bytes of input_ are still in the socket, so that input_ is not kept between calls of the owner.
+  bool peeks_ = false;
   bool drained_ = true;
+  std::uint32_t awaited_events_ = 0;  // see wait_for_buffer()
   Chain output_;
   bool records_arrivals_ = false;
   double arrived_ms_ = 0;
--- a/tests/e2e/upload_deadline_test.cpp
+++ b/tests/e2e/upload_deadline_test.cpp
@@ -90,6 +90,39 @@
   server.join();
 }
 
+// Guards against holding a client that stops in the middle of its body for as long as its earlier bytes have
+// earned: it is owed an error or a close within 3 s.
+TEST(UploadDeadline, StoppedClientGetsItsErrorHoweverMuchItHasSent) {
+  constexpr int max_wait_ms = 3000;
+  ProxyProcess proxy({.upstreams = 1});
+  auto client = proxy.connect();
+  auto text = upload(2'000'000, false, 9000);
+  std::thread server([&] { proxy.upstreams[0].accept().receive_until_end(); });
+  client.send(text.substr(0, text.size() / 2));
+  auto stopped_at = Clock::now();
+  EXPECT_EQ(status_of(client.receive_message()), 408);
+  EXPECT_LT(Clock::now() - stopped_at, ms(max_wait_ms));
+  server.join();
+}
+
+// Guards against 408 for a client whose body was paused by its upstream: the pause is not the client's.
+TEST(UploadDeadline, PauseOfTheUpstreamIsNotCountedAgainstTheClient) {
+  SlowUpstream slow;
+  auto client = slow.proxy.connect();
+  auto text = upload(stuck_body_bytes, false, 3 * budget_ms);
+  client.send(text.substr(0, stuck_body_bytes / 2));
+  auto upstream = slow.listener.accept();
+  sleep_until(Clock::now() + ms(2 * budget_ms));
+  std::thread server([&] {
+    upstream.receive_message();
+    upstream.send(ok_response);
+  });
+  sleep_until(Clock::now() + ms(3 * budget_ms / 2));
+  client.send(text.substr(stuck_body_bytes / 2));
+  EXPECT_EQ(status_of(client.receive_message()), 200);
+  server.join();
+}
+
 // Guards against ending an upload that its upstream takes steadily, for longer than the time budget: its last
 // byte can't be written yet.
 TEST(UploadDeadline, UploadTakenSteadilyIsServedHoweverLongItTakes) {
