--- a/src/proxy/upstream/attempt.hpp
+++ b/src/proxy/upstream/attempt.hpp
@@ -53,6 +53,9 @@
   double streaming_budget_ms = 0;
 };
 
+// What is known of the size of a response's body.
+enum class ResponseSize : std::uint8_t { unknown, fits_buffer, exceeds_buffer };
+
 // The state machine and the deadlines of one attempt.
 class UpstreamAttempt {
  public:
@@ -91,7 +94,7 @@
   // Transitions.
   void connected(ConnectionId connection);
   void request_sent();
-  void stream_response();
+  void stream_response(double now_ms);
   void pause_response();
   void resume_response();
 
@@ -108,9 +111,8 @@
 
   // When the attempt times out in its present phase. Applies to the phases before streaming.
   [[nodiscard]] double timeout_at_ms() const;
-  // When a streamed response times out unless more is received. `large`: the head announces a body that
-  // exceeds the buffer.
-  [[nodiscard]] double stall_timeout_at_ms(double now_ms, bool large) const;
+  // When a streamed response times out unless more is received. `size`: as its head announces it.
+  [[nodiscard]] double stall_timeout_at_ms(double now_ms, ResponseSize size) const;
   // Whether an unsent request may be written at that time. After the window of its idempotency key the
   // endpoint could execute the request a second time.
   [[nodiscard]] bool may_be_sent(double clock_ms) const { return clock_ms < deadlines_.send_by_ms; }
@@ -130,6 +132,7 @@
   ConnectionId connection_ = 0;
   std::size_t response_bytes_ = 0;
   double response_due_at_ms_ = transport::DueTimes::none;
+  double streaming_since_ms_ = 0;
   double due_ms_ = transport::DueTimes::none;
 };
 
--- a/src/proxy/upstream/exchange.cpp
+++ b/src/proxy/upstream/exchange.cpp
@@ -37,6 +37,11 @@
   return response.buffer_full() && !response.complete() && !may_stream;
 }
 
+ResponseSize size_of(const Message& response) {
+  if (!response.length()) return ResponseSize::unknown;
+  return response.exceeds_buffer() ? ResponseSize::exceeds_buffer : ResponseSize::fits_buffer;
+}
+
 Outcome outcome_of(const Message& response) {
   if (response.status() == status_ok) return Outcome::succeeded;
   bool may_be_rejected = response.status() == status_unavailable || response.status() == status_timeout;
@@ -213,9 +218,9 @@
 // Starts to forward the response: the buffered part now, the rest as it is received.
 void Upstreams::stream_response(UpstreamConnection& connection, AttemptEntry entry) {
   auto& [id, attempt] = *entry;
-  attempt.stream_response();
+  attempt.stream_response(now_ms_);
   connection.set_response_head_at_ms(0);
-  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, connection.response().exceeds_buffer()));
+  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, size_of(connection.response())));
   events_.push_back({.kind = AttemptEvent::Kind::response_started,
                      .attempt = id,
                      .endpoint = attempt.endpoint(),
@@ -225,7 +230,7 @@
 
 void Upstreams::response_progressed(UpstreamConnection& connection, AttemptEntry entry) {
   auto& [id, attempt] = *entry;
-  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, connection.response().exceeds_buffer()));
+  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, size_of(connection.response())));
   events_.push_back(
       {.kind = AttemptEvent::Kind::response_progress, .attempt = id, .endpoint = attempt.endpoint()});
 }
@@ -237,7 +242,7 @@
   if (attempt.phase() != UpstreamAttempt::Phase::response_paused) return;
   attempt.resume_response();
   auto& connection = connections_.at(attempt.connection());
-  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, connection.response().exceeds_buffer()));
+  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, size_of(connection.response())));
   read_response(connection, entry);
 }
 
@@ -247,7 +252,7 @@
   auto& attempt = entry->second;
   attempt.set_response_due_at_ms(at_ms);
   auto& connection = connections_.at(attempt.connection());
-  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, connection.response().exceeds_buffer()));
+  set_due(entry, attempt.stall_timeout_at_ms(now_ms_, size_of(connection.response())));
 }
 
 // --- End of the response ---------------------------------------------------------------------------------
--- a/tests/e2e/attempt_deadline_test.cpp
+++ b/tests/e2e/attempt_deadline_test.cpp
@@ -3,6 +3,7 @@
 // test acts as the client and the upstream over loopback.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -75,5 +76,44 @@
   }
 }
 
+// Guards against cutting off a long response of unknown length whose first bytes came in time: its upstream
+// pauses for half a second across the deadline.
+TEST(AttemptDeadline, LongResponseThatPausesAcrossTheDeadlineComesWhole) {
+  constexpr int budget_ms = 500;
+  const std::string piece(16 * 1024, 'p');
+  const std::string chunk = "4000\r\n" + piece + "\r\n";
+  ProxyProcess proxy(one_upstream(true));
+  auto client = proxy.connect();
+  client.send(http_request("/pay", budget_ms));
+  auto upstream = proxy.upstreams[0].accept();
+  upstream.receive_message();
+  auto begin = Clock::now();
+  sleep_until(begin + ms(150));
+  upstream.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk);
+  sleep_until(begin + ms(700));
+  for (int i = 2; i < 16; ++i) upstream.send(chunk);
+  upstream.send("0\r\n\r\n");
+  std::string received = client.receive_message();  // the head
+  while (!received.ends_with("0\r\n\r\n") && client.receive_some()) received += client.take_received();
+  EXPECT_EQ(std::ranges::count(received, 'p'), 16 * 16 * 1024);
+}
+
+// Guards against cutting off a long response whose upstream hangs for longer than 10 s in the middle of it,
+// by the clock of the upstream or by that of a client that has received all there is.
+TEST(AttemptDeadline, LongResponseOfAnUpstreamThatHangsComesWhole) {
+  constexpr int hang_ms = 12000;
+  const std::string body(200'000, 'p');
+  ProxyProcess proxy(one_upstream(true));
+  auto client = proxy.connect();
+  client.send(http_request("/pay", 700));
+  auto upstream = proxy.upstreams[0].accept();
+  upstream.receive_message();
+  auto response = http_message("HTTP/1.1 200 OK", body);
+  upstream.send(response.substr(0, 100'000));
+  sleep_until(Clock::now() + ms(hang_ms));
+  upstream.send(response.substr(100'000));
+  EXPECT_TRUE(status_and_body(client.receive_message()) == std::pair(200, body));
+}
+
 }  // namespace
 }  // namespace meadowgauge::test
