Hedged requests: the response that streams first owns the request

Where both answers of a hedged request stream, the client got neither whole (review/2): a second response_started took the place of the first as the attempt whose response streams, so the first one's end was taken for a buffered response, and the request was closed with a message that isn't there; with pipelining clients the process could crash on it.

The attempt whose response streams has a field of its own, set once. A further response that begins is cancelled; one that completes meanwhile is learned from and answers nothing.

--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -145,7 +145,7 @@
 void RequestForwarder::response_taken(ClientId client) {
   auto it = unanswered_.find(client);
   if (it == unanswered_.end()) return;
-  upstreams_.resume_response(attempt_id(it->second, in_flight_.at(it->second).latest_attempt));
+  upstreams_.resume_response(attempt_id(it->second, in_flight_.at(it->second).streaming_attempt));
 }
 
 // The response is due before the endpoint has taken the request's body. The attempt's last byte is not
@@ -167,16 +167,14 @@
   auto number = it->second;
   auto& request = in_flight_.at(number);
   // A streaming body can't complete without the client: cancel its attempt whatever the policy decides.
-  bool body_streams = request.body_incoming || requests_.is_responding(number);
+  int body_attempt = request.body_incoming ? request.latest_attempt : request.streaming_attempt;
   unanswered_.erase(it);
   unanswered_ids_.erase(request.id);
   request.message.reset();
   log_client_gone(number);
   requests_.client_left(number, now_ms_);
   abandon_unsent_attempts(number);
-  if (auto remaining = in_flight_.find(number);
-      remaining != in_flight_.end() && remaining->second.latest_attempt >= 0 && body_streams)
-    cancel_attempt(number, remaining->second.latest_attempt);
+  if (body_attempt >= 0 && in_flight_.contains(number)) cancel_attempt(number, body_attempt);
   downstream_.respond(client, 500, "", "");  // a half-closed client can still read it
 }
 
@@ -220,14 +218,16 @@
   return it->second.client;
 }
 
-// The first response that starts to stream is the final one: if it breaks, the request is not retried.
+// The first response that starts to stream is the final one: if it breaks, the request is not retried, and no
+// other attempt's response takes its place.
 void RequestForwarder::response_started(AttemptEvent& event) {
   auto number = request_number_of(event.attempt);
   int attempt = attempt_number_of(event.attempt);
   auto client = unanswered_client(number);
-  if (!client || !requests_.is_open(number)) return cancel_attempt(number, attempt);
+  if (!client || !requests_.is_open(number) || requests_.is_responding(number))
+    return cancel_attempt(number, attempt);
   auto& request = in_flight_.at(number);
-  request.latest_attempt = attempt;
+  request.streaming_attempt = attempt;
   request.message.reset();  // no further attempt follows
   if (!admission_.classes()[static_cast<std::size_t>(request.request_class)].streamed)
     upstreams_.set_response_due(event.attempt, request.due_ms);
@@ -255,29 +255,32 @@
   auto number = request_number_of(event.attempt);
   int attempt = attempt_number_of(event.attempt);
   if (!succeeded && event.endpoint != no_endpoint) log_failed_attempt(number, attempt, event);
-  bool open = requests_.is_open(number);
+  bool responding = requests_.is_responding(number);
   bool streaming = false;
   if (auto it = in_flight_.find(number); it != in_flight_.end()) {
     auto& request = it->second;
     request.failure_status = failure_status(event.outcome);
     if (request.message && request.message->partly_forwarded()) requests_.body_forwarded(number);
-    streaming = requests_.is_responding(number) && request.latest_attempt == attempt;
+    streaming = responding && request.streaming_attempt == attempt;
   }
+  bool open = requests_.is_open(number);
+  // While another attempt's response streams, this one can't answer the request.
+  bool answers = open && (responding ? streaming : succeeded);
   // Forwarding a response needs no policy decision: attempt_ended() below reports the request as closed.
-  if (open && streaming) {
+  if (answers && streaming) {
     ClientId client = close_request(number);
     if (succeeded)
       commands_.emplace_back(ContinueResponse{client});
     else
       commands_.emplace_back(AbortResponse{client});
-  } else if (open && succeeded) {
+  } else if (answers) {
     commands_.emplace_back(
         SendResponse{.client = close_request(number), .response = std::move(event.response)});
   }
   requests_.attempt_ended(number,
                           {.attempt = attempt,
                            .outcome = event.outcome,
-                           .request_closed = !open || streaming || succeeded,
+                           .request_closed = !open || answers,
                            .load_report = report},
                           now_ms_);
 }
--- a/src/proxy/request/forwarder.hpp
+++ b/src/proxy/request/forwarder.hpp
@@ -75,7 +75,8 @@
     double budget_ms = 0;
     double due_ms = 0;  // when the final response is due
     int request_class = 0;
-    int latest_attempt = -1;     // started last, or the attempt whose response streams; -1: none
+    int latest_attempt = -1;     // started last; -1: none
+    int streaming_attempt = -1;  // whose response streams to the client; -1: none
     bool body_incoming = false;  // part of the body has not been received yet
     int failure_status = 0;      // HTTP status for the outcome of the last ended attempt; 0: none has ended
   };
