Client connections: a close is seen while the body of its request is paused

A close that epoll reports is now reported whatever the state of the body, what was read together with it is not forwarded, and when the last byte is read the socket is asked whether the close is right behind it.

--- a/src/proxy/downstream/connections.cpp
+++ b/src/proxy/downstream/connections.cpp
@@ -30,13 +30,11 @@
       if (connection.state != Connection::State::in_flight) break;
       [[fallthrough]];  // more of the body may have arrived
     case Connection::State::in_flight:
-      if (connection.body_incoming) {
-        read_request_body(connection);
-        if (connection.body_incoming) break;
-      }
-      // Nothing is read while a complete request is in flight, so only the event shows that the client has
-      // closed.
-      if (connection.peer_closed) report_client_gone(connection);
+      if (connection.body_incoming) read_request_body(connection);
+      // Nothing is read while a complete request is in flight or its body is paused, so only the event shows
+      // that the client has closed.
+      if (connection.peer_closed && connection.state == Connection::State::in_flight)
+        report_client_gone(connection);
       break;
     case Connection::State::responding:
       // The connection was reset. EPOLLRDHUP alone may be a half-close, after which the client still reads.
@@ -131,6 +129,11 @@
   for (auto* connection : idle_connections) close(*connection);
 }
 
+bool DownstreamConnections::has_left(ClientId id) const {
+  auto it = connections_.find(id);
+  return it == connections_.end() || it->second->gone_reported;
+}
+
 // Reports client_gone, once per connection.
 void DownstreamConnections::report_client_gone(Connection& connection) {
   if (!connection.gone_reported)
--- a/src/proxy/downstream/connections.hpp
+++ b/src/proxy/downstream/connections.hpp
@@ -82,6 +82,8 @@
   void abort_response(ClientId id);
   // The buffered part of the request's body has been forwarded: continues to read the body.
   void request_body_forwarded(ClientId id);
+  // Whether the client has left before the final response: client_gone is reported.
+  [[nodiscard]] bool has_left(ClientId id) const;
   // Sets the time from the last byte of the client's request until the response is due. For requests whose
   // body exceeds the buffer.
   void set_response_budget(ClientId id, double budget_ms);
--- a/src/proxy/downstream/requests.cpp
+++ b/src/proxy/downstream/requests.cpp
@@ -192,6 +192,8 @@
   connection.body_incoming = false;
   connection.request.reset();
   if (connection.accounting == Connection::Accounting::awaiting_body) count_in_flight(connection);
+  // A close behind the last byte may have waited in the client's system, for as long as this one's was full.
+  connection.peer_closed = connection.peer_closed || connection.stream.ended();
   if (connection.peer_closed) report_client_gone(connection);
   clear_deadline(connection);
 }
--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -129,7 +129,8 @@
 // have lain in the socket for a while before it was read.
 void RequestForwarder::body_received(ClientId client) {
   auto it = unanswered_.find(client);
-  if (it == unanswered_.end()) return;
+  // What a client sent before it left is not forwarded any more; client_gone follows.
+  if (it == unanswered_.end() || downstream_.has_left(client)) return;
   auto number = it->second;
   auto& request = in_flight_.at(number);
   auto id = attempt_id(number, request.latest_attempt);
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -130,6 +130,12 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool Stream::ended() const {
+  char c = 0;
+  auto n = recv(fd_.get(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 bool Stream::flush() {
   if (!fd_) return false;
   while (output_.size() > 0) {
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -52,6 +52,8 @@
   void consume(std::size_t n);
   // Whether the connection is open and the socket has no unread input. Peeks at the socket.
   [[nodiscard]] bool quiet() const;
+  // Whether the peer has ended its side, or the socket failed, and no input is left. Peeks at the socket.
+  [[nodiscard]] bool ended() const;
 
   // The queue of bytes that flush() sends.
   [[nodiscard]] Chain& out() { return output_; }
--- a/tests/e2e/upload_deadline_test.cpp
+++ b/tests/e2e/upload_deadline_test.cpp
@@ -90,6 +90,23 @@
   server.join();
 }
 
+// Guards against forwarding the rest of a body whose client has left while the balancer did not read: the
+// request would run for nobody.
+TEST(UploadDeadline, BodyOfAClientThatHasLeftIsNotForwardedToItsEnd) {
+  for (bool reset : {false, true}) {
+    SlowUpstream slow;
+    auto client = slow.proxy.connect();
+    auto text = upload(stuck_body_bytes, false, 9000);
+    std::thread sender([&] { client.send(text); });
+    auto upstream = slow.listener.accept();
+    upstream.receive_some();
+    sender.join();
+    reset ? client.reset() : client.close();
+    sleep_until(Clock::now() + ms(100));
+    EXPECT_LT(upstream.receive_until_end().size(), text.size());
+  }
+}
+
 // Guards against holding a client that stops in the middle of its body for as long as its earlier bytes have
 // earned: it is owed an error or a close within 3 s.
 TEST(UploadDeadline, StoppedClientGetsItsErrorHoweverMuchItHasSent) {
