Request ids: not run again while the effect of their request may still come

At the two processes of an upgrade each knew only its own ids.

RequestIds holds the ids of requests that must not be repeated from their arrival until they are answered and no attempt can take effect any more: 30 s past the last attempt that was cancelled, timed out or reset, or past any if the client has left, unless it is known not to have run. Such a request gets 409. An id that was answered is free, as before.

--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -11,9 +11,7 @@
 constexpr double early_limit_share = 0.5;  // time limit of an attempt given up early / latency objective
 
 bool may_have_run(const Attempt& attempt) {
-  using enum Outcome;
-  if (attempt.in_flight) return true;
-  return attempt.outcome != rejected && attempt.outcome != unreachable && attempt.outcome != superseded;
+  return attempt.in_flight || meadowgauge::may_have_run(attempt.outcome);
 }
 
 double key_window_ms(const RequestClassSettings& rules) {
--- a/src/policy/types.hpp
+++ b/src/policy/types.hpp
@@ -45,6 +45,11 @@
   superseded  // not sent: the request no longer needs the attempt, or it may no longer be sent
 };
 
+// Whether the endpoint may have run an attempt that ended like this, or may run it yet.
+constexpr bool may_have_run(Outcome outcome) {
+  return outcome != Outcome::rejected && outcome != Outcome::unreachable && outcome != Outcome::superseded;
+}
+
 // State of an endpoint on the endpoint list; `gone` removes it from the list.
 enum class EndpointState : std::uint8_t { gone, ready, draining };
 
--- a/src/program/admin_service.cpp
+++ b/src/program/admin_service.cpp
@@ -7,6 +7,19 @@
 using hot_restart::Takeover;
 using proxy::Level;
 
+namespace {
+
+// The file with the ids of requests whose effect may still come, in the state directory.
+constexpr std::string_view request_ids_file = "ids";
+constexpr std::size_t request_ids_bytes = proxy::RequestIds::slot_count * sizeof(proxy::RequestIds::Slot);
+
+}  // namespace
+
+SharedState::SharedState(const std::string& folder, const std::string& name)
+    : directory(folder, name), locks(directory) {
+  if (directory.exists()) request_ids.emplace(directory.path_of(request_ids_file), request_ids_bytes);
+}
+
 AdminService::AdminService(transport::Loop& loop, proxy::Balancer& balancer, SharedState& shared,
                            const transport::Address& address, proxy::Logger log,
                            const FleetCoordinator* fleet)
@@ -18,6 +31,7 @@
       takeover_(shared.locks.scan(), clock_.now()),
       server_(loop, address, *this) {
   balancer_.set_manual_drains(drains_.names());
+  share_request_ids();
   if (takeover_.replaces_another()) {
     auto snapshot = hot_restart::decode_snapshot(shared_.directory.read(hot_restart::snapshot_file),
                                                  clock_.now(), Takeover::max_snapshot_age_ms);
@@ -27,6 +41,15 @@
   advance_takeover();
 }
 
+void AdminService::share_request_ids() {
+  if (!shared_.request_ids) return;
+  if (auto* memory = shared_.request_ids->data())
+    return balancer_.share_request_ids(
+        {static_cast<proxy::RequestIds::Slot*>(memory), proxy::RequestIds::slot_count});
+  const auto path = shared_.directory.path_of(request_ids_file);
+  log_(Level::warning, "request ids not shared with other processes: cannot map " + path, {{"file", path}});
+}
+
 proxy::Metrics AdminService::metrics() {
   auto metrics = balancer_.metrics();
   if (fleet_) metrics.fleet = fleet_->metrics();
--- a/src/program/admin_service.hpp
+++ b/src/program/admin_service.hpp
@@ -2,9 +2,13 @@
 // the takeover at a hot restart, during which two processes of one balancer listen on the same address.
 #pragma once
 
+#include <optional>
+#include <string>
+
 #include "admin/server.hpp"
 #include "hot_restart/instance_locks.hpp"
 #include "hot_restart/manual_drain_file.hpp"
+#include "hot_restart/shared_memory.hpp"
 #include "hot_restart/takeover.hpp"
 #include "program/fleet_coordinator.hpp"
 #include "proxy/balancer.hpp"
@@ -16,10 +20,10 @@
 struct SharedState {
   // `folder` keeps the state across hot restarts; if it is empty, no state is kept. `name` is unique in the
   // folder.
-  SharedState(const std::string& folder, const std::string& name)
-      : directory(folder, name), locks(directory) {}
+  SharedState(const std::string& folder, const std::string& name);
   hot_restart::StateDirectory directory;
   hot_restart::InstanceLocks locks;
+  std::optional<hot_restart::SharedMemory> request_ids;  // absent without a folder
 };
 
 // Owns the admin server, the manual drains and the takeover state of this process.
@@ -42,6 +46,7 @@
   bool ready() override { return balancer_.ready(); }
   proxy::Metrics metrics() override;
   admin::DrainResult set_offline(const std::string& server_id, bool offline) override;
+  void share_request_ids();
   void advance_takeover();
 
   proxy::Balancer& balancer_;
--- a/src/proxy/balancer.hpp
+++ b/src/proxy/balancer.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,10 @@
   // Sets the program's periodic work, which is called at every tick of the policy.
   void on_tick(std::function<void()> work) { on_tick_ = std::move(work); }
 
+  // Shares the ids of requests whose effect may still come with the other processes of this balancer, see
+  // RequestIds::share().
+  void share_request_ids(std::span<RequestIds::Slot> slots) { requests_.share_request_ids(slots); }
+
   // Sets a filter that each request passes before the policy; it outlives the balancer. Null: no filter.
   void set_request_filter(RequestFilter* filter);
 
--- a/src/proxy/request/admission.cpp
+++ b/src/proxy/request/admission.cpp
@@ -60,13 +60,15 @@
 // Returns why the message violates the rules of its class, if it does. An ambiguous message is refused
 // because the proxy and an endpoint might read it as two different requests.
 std::optional<RefusalReason> validate(const Message& message, const RequestClassRules& rules,
-                                      const std::unordered_set<std::string_view>& unanswered_ids) {
+                                      const AdmissionContext& context) {
   if (has_repeated_control_header(message)) return RefusalReason::repeated_control_header;
   if (control_header_not_forwarded(message)) return RefusalReason::control_header_not_forwarded;
   auto id = message.find(names::request_id);
   if (id.empty()) return RefusalReason::missing_id;
-  if (unanswered_ids.contains(id)) return RefusalReason::id_in_flight;
+  if (context.unanswered_ids.contains(id)) return RefusalReason::id_in_flight;
   bool idempotent = rules.repeat == RepeatRule::idempotent;
+  if (!idempotent && context.effective_ids && context.effective_ids->contains(id, context.now_ms))
+    return RefusalReason::id_in_flight;
   if (message.method() != (idempotent ? "GET" : "POST")) return RefusalReason::wrong_method;
   if (idempotent && (message.body_size() > 0 || !message.complete())) return RefusalReason::unexpected_body;
   bool is_key_missing = message.find(names::idempotency_key).empty();
@@ -122,7 +124,7 @@
   // An endpoint that normalizes the path might run the request as another class, with another RepeatRule.
   if (!protocol::resolves_under_first_segment(path)) return refuse(RefusalReason::ambiguous_path);
   const auto& rules = classes_[static_cast<std::size_t>(request_class)];
-  if (auto reason = validate(message, rules, context.unanswered_ids)) return refuse(*reason);
+  if (auto reason = validate(message, rules, context)) return refuse(*reason);
   // Refused before the policy sees the request: there is no capacity to hold it.
   if (context.at_capacity) return refuse(RefusalReason::at_capacity);
   if (context.endpoints_unknown)
--- a/src/proxy/request/admission.hpp
+++ b/src/proxy/request/admission.hpp
@@ -13,6 +13,7 @@
 
 #include "protocol/http.hpp"
 #include "proxy/request/filter.hpp"
+#include "proxy/request/request_ids.hpp"
 
 namespace meadowgauge::proxy {
 
@@ -81,9 +82,11 @@
 struct AdmissionContext {
   // The ids of unanswered requests.
   const std::unordered_set<std::string_view>& unanswered_ids;
-  bool at_capacity = false;               // the proxy holds its maximum number of requests
-  bool endpoints_unknown = false;         // see RefusalReason
-  RequestFilter* fleet_limits = nullptr;  // null: no fleet-wide limits
+  const RequestIds* effective_ids = nullptr;  // of requests whose effect may still come; null: none
+  double now_ms = 0;                          // for `effective_ids`
+  bool at_capacity = false;                   // the proxy holds its maximum number of requests
+  bool endpoints_unknown = false;             // see RefusalReason
+  RequestFilter* fleet_limits = nullptr;      // null: no fleet-wide limits
 };
 
 // Checks messages against the rules of their request class and against the fleet-wide limits.
--- a/src/proxy/request/forwarder.cpp
+++ b/src/proxy/request/forwarder.cpp
@@ -19,6 +19,13 @@
 constexpr double delivery_delay_ms = 2;
 // Deadline while a request's body is being received. DownstreamConnections enforces the client's progress.
 constexpr double max_body_ms = 3600000;
+// An endpoint may run an attempt this long after it has ended here: longer than endpoints hang.
+constexpr double effect_delay_ms = 30000;
+
+// Whether the endpoint may be running an attempt that ended here with this outcome.
+bool may_run_yet(Outcome outcome) {
+  return outcome == Outcome::timeout || outcome == Outcome::reset || outcome == Outcome::cancelled;
+}
 
 // The HTTP status of the final response if the last attempt had this outcome.
 int failure_status(Outcome outcome) {
@@ -64,6 +71,8 @@
   bool at_capacity = static_cast<double>(in_flight_.size()) >= settings_.max_in_flight ||
                      unanswered_.size() >= downstream_.max_served();
   auto result = admission_.admit(*event.message, {.unanswered_ids = unanswered_ids_,
+                                                  .effective_ids = &request_ids_,
+                                                  .now_ms = now_ms_,
                                                   .at_capacity = at_capacity,
                                                   .endpoints_unknown = !initial_list_.may_serve(),
                                                   .fleet_limits = request_filter_});
@@ -90,6 +99,12 @@
 }
 
 void RequestForwarder::dispatch(DownstreamEvent& event, const AdmittedRequest& admitted) {
+  const auto& rules = admission_.classes()[static_cast<std::size_t>(admitted.request_class)];
+  bool must_not_repeat = rules.repeat != RepeatRule::idempotent;
+  if (must_not_repeat && !request_ids_.acquire(event.message->find(names::request_id), now_ms_,
+                                               now_ms_ + admitted.budget_ms + effect_delay_ms))
+    return refuse(event.client,
+                  {.reason = RefusalReason::id_in_flight, .request_class = admitted.request_class});
   downstream_.set_request_class(event.client, admitted.request_class);
   Request request{.request_class = admitted.request_class,
                   .tenant = admitted.tenant,
@@ -109,7 +124,8 @@
                .budget_ms = admitted.budget_ms,
                .due_ms = request.deadline_ms,
                .request_class = admitted.request_class,
-               .body_incoming = admitted.body_incoming};
+               .body_incoming = admitted.body_incoming,
+               .must_not_repeat = must_not_repeat};
   unanswered_ids_.insert(in_flight.id);
   unanswered_[event.client] = number;
   if (admitted.body_incoming)
@@ -172,6 +188,7 @@
   unanswered_.erase(it);
   unanswered_ids_.erase(request.id);
   request.message.reset();
+  request.client_left = true;
   log_client_gone(number);
   requests_.client_left(number, now_ms_);
   abandon_unsent_attempts(number);
@@ -261,6 +278,8 @@
   if (auto it = in_flight_.find(number); it != in_flight_.end()) {
     auto& request = it->second;
     request.failure_status = failure_status(event.outcome);
+    request.effect_may_come = request.effect_may_come || (request.client_left ? may_have_run(event.outcome)
+                                                                              : may_run_yet(event.outcome));
     if (request.message && request.message->partly_forwarded()) requests_.body_forwarded(number);
     streaming = responding && request.streaming_attempt == attempt;
   }
@@ -343,6 +362,16 @@
 
 void RequestForwarder::probe(EndpointIndex endpoint) { commands_.emplace_back(StartProbe{endpoint}); }
 
-void RequestForwarder::released(RequestNumber number) { in_flight_.erase(number); }
+// An endpoint may still run an attempt that has ended here, and a client that has left does not know what has
+// become of its request.
+void RequestForwarder::released(RequestNumber number) {
+  auto it = in_flight_.find(number);
+  const auto& request = it->second;
+  if (request.must_not_repeat && request.effect_may_come)
+    request_ids_.keep(request.id, now_ms_ + effect_delay_ms);
+  else if (request.must_not_repeat)
+    request_ids_.release(request.id);
+  in_flight_.erase(it);
+}
 
 }  // namespace meadowgauge::proxy
--- a/src/proxy/request/forwarder.hpp
+++ b/src/proxy/request/forwarder.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 #include "proxy/proxy_settings.hpp"
 #include "proxy/request/admission.hpp"
 #include "proxy/request/filter.hpp"
+#include "proxy/request/request_ids.hpp"
 #include "proxy/request/table.hpp"
 #include "proxy/upstream/upstreams.hpp"
 #include "transport/due_times.hpp"
@@ -48,6 +50,9 @@
   // `filter`: checked for each request before the policy decides; outlives the forwarder. Null: no check.
   void set_request_filter(RequestFilter* filter) { request_filter_ = filter; }
 
+  // Shares the ids of requests whose effect may still come with other processes, see RequestIds::share().
+  void share_request_ids(std::span<RequestIds::Slot> slots) { request_ids_.share(slots); }
+
   // Events of a loop turn. The caller passes upstream events first, because they free capacity for new
   // requests.
   void upstream_event(AttemptEvent& event);
@@ -75,10 +80,13 @@
     double budget_ms = 0;
     double due_ms = 0;  // when the final response is due
     int request_class = 0;
-    int latest_attempt = -1;     // started last; -1: none
-    int streaming_attempt = -1;  // whose response streams to the client; -1: none
-    bool body_incoming = false;  // part of the body has not been received yet
-    int failure_status = 0;      // HTTP status for the outcome of the last ended attempt; 0: none has ended
+    int latest_attempt = -1;       // started last; -1: none
+    int streaming_attempt = -1;    // whose response streams to the client; -1: none
+    bool body_incoming = false;    // part of the body has not been received yet
+    bool must_not_repeat = false;  // its id is in request_ids_
+    bool client_left = false;
+    bool effect_may_come = false;  // an attempt that has ended here may take effect, or has done so unnoticed
+    int failure_status = 0;        // HTTP status for the outcome of the last ended attempt; 0: none has ended
   };
 
   // Commands, executed in the order in which the policy decided on them.
@@ -194,6 +202,7 @@
   std::unordered_map<RequestNumber, InFlightRequest> in_flight_;
   std::unordered_map<ClientId, RequestNumber> unanswered_;  // by client
   std::unordered_set<std::string_view> unanswered_ids_;     // views into in_flight_
+  RequestIds request_ids_;
   std::vector<Command> commands_;
   std::uint64_t next_number_ = 1;
   std::optional<RequestNumber> last_rejected_;
