Upstreams: attempts that wait for a process do not go to the one that replaces it

They end as never sent now, so that the policy picks anew; connections dialled before were closed already (generation).

Before: Upstreams.AnotherProcessAtTheAddressGetsNoAttemptOfTheOneBefore sends the request, dialled or not. After: passes.

--- a/src/proxy/upstream/upstreams.cpp
+++ b/src/proxy/upstream/upstreams.cpp
@@ -47,8 +47,9 @@
                                bool active) {
   bool is_other_process = endpoints_.update(endpoint, address, started_at_ms, active);
   if (!address.empty() && !endpoints_.dial_address(endpoint)) log_invalid_address(endpoint, address);
-  if (is_other_process) connections_.close_idle(endpoint);
-  if (!endpoints_.accepts_attempts(endpoint)) stop_attempts(endpoint);
+  // Attempts that wait for a connection were picked for the process before: its slow start, key group and
+  // latencies were decisive.
+  if (is_other_process || !endpoints_.accepts_attempts(endpoint)) stop_attempts(endpoint);
 }
 
 void Upstreams::log_invalid_address(EndpointIndex endpoint, const std::string& address) const {
@@ -71,7 +72,7 @@
 }
 
 // Closes idle connections and fails the attempts that wait for a connection: no new request may be sent to a
-// drained endpoint, and the policy retries the attempts at other endpoints.
+// drained endpoint, or to the successor of the process that was picked. The policy picks an endpoint anew.
 void Upstreams::stop_attempts(EndpointIndex endpoint) {
   connections_.close_idle(endpoint);
   for (auto id : std::exchange(waiting_attempts(endpoint), {}))
--- a/src/proxy/upstream/upstreams.hpp
+++ b/src/proxy/upstream/upstreams.hpp
@@ -54,8 +54,8 @@
   // reclaim_indices() frees it.
   EndpointIndex index_of(const std::string& name);
   // Updates an endpoint from the endpoint list. An empty `address` keeps the known address; `started_at_ms`
-  // identifies the incarnation; `active`: accepts new attempts. Closes idle connections of another
-  // incarnation or address.
+  // identifies the incarnation; `active`: accepts new attempts. With another incarnation or address closes
+  // idle connections, and ends the attempts that wait for a connection as never sent.
   void update_address(EndpointIndex endpoint, const std::string& address, double started_at_ms, bool active);
   // Starts or ends an operator's drain, which overrides the endpoint list.
   void set_manual_drain(EndpointIndex endpoint, bool drained);
--- a/tests/proxy/upstream/upstreams_test.cpp
+++ b/tests/proxy/upstream/upstreams_test.cpp
@@ -99,6 +99,26 @@
 };
 using Outcomes = std::vector<Outcome>;
 
+// Guards against requests for a process that has gone which reach the one that started at its address: those
+// that wait for a connection, whether it is dialled already or not, and those for an idle connection.
+TEST(Upstreams, AnotherProcessAtTheAddressGetsNoAttemptOfTheOneBefore) {
+  for (bool dialled : {false, true}) {
+    UpstreamsFixture fixture;
+    fixture.upstreams.start(1, EndpointIndex{0}, fixture.request,
+                            {.limit_ms = 500, .streaming_budget_ms = 500});
+    if (dialled) {
+      fixture.loop.wait(10);
+      fixture.loop.dispatch();  // established; the request is sent later in the turn
+    }
+    fixture.upstreams.update_address(EndpointIndex{0}, fixture.listener.address().text(), 5000, true);
+    EXPECT_EQ(fixture.accept_and_receive(), "");
+    EXPECT_EQ(fixture.take_outcomes(), Outcomes{Outcome::unreachable});
+    fixture.upstreams.start(2, EndpointIndex{0}, fixture.request,
+                            {.limit_ms = 500, .streaming_budget_ms = 500});
+    EXPECT_TRUE(fixture.accept_and_receive().starts_with("POST /pay ")) << "the next attempt is sent";
+  }
+}
+
 // Guards against a second outcome of an attempt that is abandoned, cancelled or timed out in any order. An
 // attempt that was not sent to its last byte ends as not executed.
 TEST(Upstreams, AnAttemptEndsOnceWhenEndedTwice) {
