--- a/tests/e2e/slow_peers_test.cpp
+++ b/tests/e2e/slow_peers_test.cpp
@@ -66,7 +66,7 @@
   constexpr int bytes_per_read = 6400;  // 64 kB per second
   constexpr int read_interval_ms = 100;
   constexpr int slow_reads = 140;  // longer than a client may receive nothing
-  const auto long_response = http_message("HTTP/1.1 200 OK", std::string(6'000'000, 'r'));
+  auto long_response = http_message("HTTP/1.1 200 OK", std::string(6'000'000, 'r'));
   ProxyProcess proxy({.upstreams = 1});
   RespondingUpstream upstream(proxy.upstreams[0], [&](const std::string&) { return long_response; });
   auto client = proxy.connect();
--- a/tests/e2e/upload_deadline_test.cpp
+++ b/tests/e2e/upload_deadline_test.cpp
@@ -107,6 +107,21 @@
   }
 }
 
+// Guards against a request that reaches its upstream long after its client has left: the system goes on
+// sending what it holds of a connection that is closed in an orderly way.
+TEST(UploadDeadline, RequestOnItsWayIsNotDeliveredOnceItsClientHasLeft) {
+  constexpr std::size_t body_bytes = 8000;  // the system takes it whole
+  SlowUpstream slow;
+  auto client = slow.proxy.connect();
+  auto text = upload(body_bytes, false, 9000);
+  client.send(text);
+  auto upstream = slow.listener.accept();
+  EXPECT_TRUE(upstream.receive_some(1));
+  client.close();
+  sleep_until(Clock::now() + ms(100));
+  EXPECT_LT(upstream.receive_until_end().size(), text.size());
+}
+
 // Guards against holding a client that stops in the middle of its body for as long as its earlier bytes have
 // earned: it is owed an error or a close within 3 s.
 TEST(UploadDeadline, StoppedClientGetsItsErrorHoweverMuchItHasSent) {
