--- a/src/proxy/upstream/attempt.cpp
+++ b/src/proxy/upstream/attempt.cpp
@@ -18,7 +18,7 @@
 // A response of unknown length may turn out larger than the buffer: only its first bytes are due. It has
 // `max_growth_ms` from there to do so, with pauses of at most `max_growth_pause_ms`.
 constexpr double max_growth_ms = 2000;
-constexpr double max_growth_pause_ms = 600;
+constexpr double max_growth_pause_ms = 1000;
 
 }  // namespace
 
