--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -18,7 +18,7 @@
 // The longest accepted line of chunk framing or of a trailer.
 constexpr std::size_t max_framing_line_bytes = 256;
 // Room for the first part of a body. If its head leaves less, the body gets a buffer of its own.
-constexpr std::size_t min_body_room_bytes = 1024;
+constexpr std::size_t min_body_space_bytes = 1024;
 // Room for the size line and the line end of a chunk.
 constexpr std::size_t max_chunk_framing_bytes = 20;
 
@@ -110,10 +110,10 @@
 // one more. Returns the number of bytes; 0 if there is no buffer.
 std::size_t Message::copy_piece(transport::Chain& out, bool chunked, std::size_t offset) const {
   auto framing_bytes = chunked ? max_chunk_framing_bytes : 0;
-  auto room = out.make_room(framing_bytes + 1, BufferUse::shared);
-  if (room <= framing_bytes) return 0;
-  auto size = std::min(room - framing_bytes, body_size() - offset);
-  // The room was made above, so append() succeeds.
+  auto space = out.ensure_space(framing_bytes + 1, BufferUse::shared);
+  if (space <= framing_bytes) return 0;
+  auto size = std::min(space - framing_bytes, body_size() - offset);
+  // append() succeeds, because the space was ensured above.
   if (chunked) {
     std::array<char, max_chunk_framing_bytes> size_line{};
     std::snprintf(size_line.data(), size_line.size(), "%zx\r\n", size);
@@ -146,21 +146,21 @@
   return given - in.size();
 }
 
-std::size_t Message::make_room() {
-  // The head stays within its buffer. Without room there, one more byte shows that it is too large.
+std::size_t Message::ensure_space() {
+  // The head stays within its buffer. If that is full, one more byte shows that the head is too large.
   if (!head_complete()) return std::max<std::size_t>(1, transport::buffer_size - bytes_.size());
   if (body_size() >= max_buffered_body) return 0;
-  auto room = body_size() > 0 ? bytes_.make_room(1, BufferUse::shared)
-                              : bytes_.make_room(min_body_room_bytes, BufferUse::essential);
-  out_of_buffers_ = room == 0;
-  return std::min(room, max_buffered_body - body_size());
+  auto space = body_size() > 0 ? bytes_.ensure_space(1, BufferUse::shared)
+                               : bytes_.ensure_space(min_body_space_bytes, BufferUse::essential);
+  out_of_buffers_ = space == 0;
+  return std::min(space, max_buffered_body - body_size());
 }
 
 // Moves body bytes from `in` to the buffer. Returns false if the buffer is full or a fault occurred.
 bool Message::feed_body(std::string_view& in) {
   auto piece = in.substr(0, remaining_);
   if (body_ == Body::streaming) {
-    piece = piece.substr(0, make_room());
+    piece = piece.substr(0, ensure_space());
     if (piece.empty()) return false;
   }
   if (!bytes_.append(piece)) {
--- a/src/protocol/http.hpp
+++ b/src/protocol/http.hpp
@@ -56,7 +56,7 @@
   std::size_t feed(std::string_view in);
   // For a streaming body: how many bytes feed() is sure to consume now, at least. Takes a buffer if needed.
   // 0: see buffer_full() and out_of_buffers().
-  [[nodiscard]] std::size_t make_room();
+  [[nodiscard]] std::size_t ensure_space();
   // Prepares for the next message. Releases the buffers and invalidates all views.
   void reset();
   // Must be called before parsing a response to HEAD, which may state a length but has no body.
@@ -90,12 +90,12 @@
   // The number of buffered body bytes.
   [[nodiscard]] std::size_t body_size() const { return bytes_.size() - head_size_; }
   // For a streaming body: whether `max_buffered_body` bytes are buffered, or fewer if the pool has no buffer
-  // for more. move_body() makes room.
+  // for more. move_body() frees space.
   [[nodiscard]] bool buffer_full() const {
     return body_size() >= max_buffered_body || (out_of_buffers_ && head_complete() && body_size() > 0);
   }
-  // For a streaming body: whether the last feed() or make_room() found no buffer in the pool. The call can be
-  // retried later.
+  // For a streaming body: whether the last feed() or ensure_space() found no buffer in the pool. The call can
+  // be retried later.
   [[nodiscard]] bool out_of_buffers() const { return out_of_buffers_; }
   // Whether move_body() has removed part of the body, so that the message cannot be sent again.
   [[nodiscard]] bool partly_forwarded() const { return partly_forwarded_; }
@@ -109,8 +109,9 @@
   [[nodiscard]] bool close_delimited() const { return state_ == ParseState::until_close; }
   // To be called when the peer closes the connection in an orderly way. Completes a close-delimited response.
   void connection_closed();
-  // Moves the buffered part of the body to `out`, in chunks if `chunked`: until `out` has `max_queued_bytes`
-  // or more, or as much as there are buffers for. `out_of_buffers`: there is none, and nothing was moved.
+  // Moves the buffered part of the body to `out`, in chunks if `chunked`, until `out` holds
+  // `max_queued_bytes` or the pool has no buffer. `out_of_buffers`: the pool had no buffer for the first
+  // byte.
   MoveResult move_body(transport::Chain& out, bool chunked, std::size_t max_queued_bytes = std::string::npos);
   // Copies the buffered body from `offset` on to `out`, with the same limits as move_body(). Returns the
   // number of bytes.
--- a/src/proxy/downstream/connection.hpp
+++ b/src/proxy/downstream/connection.hpp
@@ -77,8 +77,8 @@
   bool response_ended = false;  // the streamed response is queued to its last byte
   int status = 0;
   // The bytes that the client's system had taken at the last check, and when it last took some or all.
-  std::uint64_t delivered_bytes = 0;
-  double delivered_at_ms = 0;
+  std::uint64_t acknowledged_bytes = 0;
+  double acknowledged_at_ms = 0;
   std::size_t discarded_bytes = 0;  // while lingering
 };
 
--- a/src/proxy/downstream/connections.cpp
+++ b/src/proxy/downstream/connections.cpp
@@ -69,7 +69,7 @@
     return respond_and_close(connection, 408);
   if (connection.state == Connection::State::in_flight && connection.body_incoming)
     return body_deadline_reached(connection);
-  if (connection.state == Connection::State::responding) return check_delivery(connection);
+  if (connection.state == Connection::State::responding) return check_client_progress(connection);
   close(connection);
 }
 
--- a/src/proxy/downstream/connections.hpp
+++ b/src/proxy/downstream/connections.hpp
@@ -155,7 +155,7 @@
   void body_deadline_reached(Connection& connection);
   void request_body_complete(Connection& connection);
   bool receive(Connection& connection);
-  void request_out_of_room(Connection& connection);
+  void request_out_of_space(Connection& connection);
   bool feed(Connection& connection);
   void request_received(Connection& connection);
 
@@ -165,8 +165,8 @@
   void start_sending(Connection& connection, bool written);
   void continue_sending(Connection& connection);
   void forward_response(Connection& connection);
-  void watch_delivery(Connection& connection);
-  void check_delivery(Connection& connection);
+  void watch_client_progress(Connection& connection);
+  void check_client_progress(Connection& connection);
   void discard_input(Connection& connection);
   [[nodiscard]] bool is_last_response(const Connection& connection) const;
 
--- a/src/proxy/downstream/requests.cpp
+++ b/src/proxy/downstream/requests.cpp
@@ -78,25 +78,25 @@
   return connection.stream.out().append("HTTP/1.1 100 Continue\r\n\r\n") && connection.stream.flush();
 }
 
-// Receives more bytes, no more than the request has room for, so that unread input holds no buffer. False:
-// none have arrived, or there is no room, or the connection has ended and is closed, which drops an
-// incomplete request.
+// Receives at most as many bytes as the request can store, so that unread input holds no buffer. Returns
+// false if none have arrived, if the request can't store more, or if the connection has ended and is closed,
+// which drops an incomplete request.
 bool DownstreamConnections::receive(Connection& connection) {
-  auto room = connection.request ? connection.request->make_room() : transport::buffer_size;
-  if (room == 0) {
-    request_out_of_room(connection);
+  auto space = connection.request ? connection.request->ensure_space() : transport::buffer_size;
+  if (space == 0) {
+    request_out_of_space(connection);
     return false;
   }
-  auto got = connection.stream.fill(room);
+  auto got = connection.stream.fill(space);
   if (got == Stream::ReadResult::bytes) return true;
   if (connection.stream.drained()) connection.unread_since_ms = 0;
   if (got != Stream::ReadResult::nothing) close(connection);
   return false;
 }
 
-// The request can't store more of its body. What is buffered is forwarded, which makes room; without any of
-// it the connection waits for a buffer.
-void DownstreamConnections::request_out_of_room(Connection& connection) {
+// The request can't store more of its body. Forwarding the buffered part frees space; if nothing is buffered,
+// the connection waits for a buffer of the pool.
+void DownstreamConnections::request_out_of_space(Connection& connection) {
   bool can_forward = connection.request->buffer_full();
   if (!can_forward) connection.stream.wait_for_buffer(EPOLLIN);
   if (connection.state == Connection::State::in_flight) return pause_request_body(connection);
@@ -150,7 +150,7 @@
     request_body_complete(connection);
     return false;
   }
-  if (!fed) request_out_of_room(connection);
+  if (!fed) request_out_of_space(connection);
   return fed;
 }
 
--- a/src/proxy/downstream/responses.cpp
+++ b/src/proxy/downstream/responses.cpp
@@ -16,8 +16,8 @@
 // Limit of bytes of a streamed response in the connection's send queue.
 constexpr std::size_t max_queued_bytes = std::size_t{32} * 1024;
 // A connection is closed if its client's system takes no byte of the pending response for this time.
-constexpr double delivery_stall_ms = 10000;
-constexpr double delivery_check_interval_ms = 2500;
+constexpr double client_stall_ms = 10000;
+constexpr double client_check_interval_ms = 2500;
 // After the last response the connection stays open for `linger_ms`, or until `linger_bytes` of input are
 // discarded: closing a socket with unread input sends a reset, on which the client may drop the response.
 constexpr double linger_ms = 1000;
@@ -88,7 +88,7 @@
   }
   connection.state = Connection::State::responding;
   unmark_sheddable(connection);
-  watch_delivery(connection);
+  watch_client_progress(connection);
   forward_response(connection);
 }
 
@@ -109,22 +109,22 @@
 }
 
 // Starts to check that the client receives the response.
-void DownstreamConnections::watch_delivery(Connection& connection) {
-  connection.delivered_at_ms = now_ms_;
-  connection.delivered_bytes = connection.stream.delivered_bytes();
-  set_deadline(connection, delivery_check_interval_ms);
+void DownstreamConnections::watch_client_progress(Connection& connection) {
+  connection.acknowledged_at_ms = now_ms_;
+  connection.acknowledged_bytes = connection.stream.acknowledged_bytes();
+  set_deadline(connection, client_check_interval_ms);
 }
 
 // Closes the connection if its client receives nothing. What counts is what the client's system acknowledges:
 // while the socket's send buffer is full, a client that reads slowly but steadily makes it writable only
 // after many seconds. A client from which nothing is pending waits for the endpoint, and is not checked.
-void DownstreamConnections::check_delivery(Connection& connection) {
-  auto delivered = connection.stream.delivered_bytes();
-  bool pending = !connection.stream.flushed() || delivered < connection.stream.sent_bytes();
-  if (!pending || delivered > connection.delivered_bytes) connection.delivered_at_ms = now_ms_;
-  connection.delivered_bytes = delivered;
-  if (now_ms_ - connection.delivered_at_ms >= delivery_stall_ms) return close(connection);
-  set_deadline(connection, delivery_check_interval_ms);
+void DownstreamConnections::check_client_progress(Connection& connection) {
+  auto acknowledged = connection.stream.acknowledged_bytes();
+  bool pending = !connection.stream.flushed() || acknowledged < connection.stream.sent_bytes();
+  if (!pending || acknowledged > connection.acknowledged_bytes) connection.acknowledged_at_ms = now_ms_;
+  connection.acknowledged_bytes = acknowledged;
+  if (now_ms_ - connection.acknowledged_at_ms >= client_stall_ms) return close(connection);
+  set_deadline(connection, client_check_interval_ms);
 }
 
 // Moves the received part of a streamed response to the send queue, as far as the client reads it.
@@ -146,7 +146,7 @@
   }
   if (moved && !connection.response->complete())
     events_.push_back({.kind = DownstreamEvent::response_taken, .client = connection.id});
-  // Queued bytes make room once they are sent, which epoll reports.
+  // Otherwise epoll reports when queued bytes can be sent, which frees space.
   if (out_of_buffers && connection.stream.flushed()) connection.stream.wait_for_buffer(EPOLLOUT);
   if (out_of_buffers) return;
   if (!connection.response_ended) return;
@@ -165,7 +165,7 @@
   }
   connection.state = Connection::State::responding;
   unmark_sheddable(connection);
-  watch_delivery(connection);
+  watch_client_progress(connection);
   if (!written) return close(connection);
   continue_sending(connection);
 }
--- a/src/proxy/request/request_ids.hpp
+++ b/src/proxy/request/request_ids.hpp
@@ -10,9 +10,9 @@
 namespace meadowgauge::proxy {
 
 // The ids of requests that must not take effect twice: each from its arrival until its effect can no longer
-// come, also after its client has left. A hash table of fixed size with a few slots for each hash value; if
-// these are full, the id that would be forgotten first makes way. Processes that serve the same clients can
-// share the slots. All times are in ms of Unix time.
+// come, also after its client has left. The hash table has a fixed size and a few slots for each hash value.
+// If these are full, a new id replaces the one with the earliest end. Processes that serve the same clients
+// can share the slots. All times are in ms of Unix time.
 class RequestIds {
  public:
   struct Slot {
--- a/src/proxy/upstream/connection.cpp
+++ b/src/proxy/upstream/connection.cpp
@@ -29,7 +29,7 @@
 void UpstreamConnection::close() {
   // The system would go on sending what the endpoint has not taken of the request, and the endpoint would run
   // it although nobody waits for its response.
-  bool request_pending = state_ == State::in_flight && stream_.delivered_bytes() < stream_.sent_bytes();
+  bool request_pending = state_ == State::in_flight && stream_.acknowledged_bytes() < stream_.sent_bytes();
   state_ = State::closed;
   if (request_pending)
     stream_.reset();
--- a/src/proxy/upstream/connection.hpp
+++ b/src/proxy/upstream/connection.hpp
@@ -70,8 +70,8 @@
   void begin_attempt(AttemptId attempt, double now_ms);
   // From in_flight, after take_response().
   void settle();
-  // From any state: closes the socket, with a reset if part of the request is still on its way. The response is
-  // kept until the connection is destroyed.
+  // From any state: closes the socket, with a reset if the endpoint's system has not received the whole
+  // request yet. Keeps the response until the connection is destroyed.
   void close();
 
   // The received part of the response to the attempt in flight.
--- a/src/proxy/upstream/exchange.cpp
+++ b/src/proxy/upstream/exchange.cpp
@@ -121,9 +121,9 @@
 void Upstreams::read_response(UpstreamConnection& connection, AttemptEntry entry) {
   for (int i = 0; i < max_reads_per_turn; ++i) {
     if (!parse_received(connection, entry)) return;
-    auto room = room_for_response(connection, entry);
-    if (room == 0) return;
-    auto got = connection.stream().fill(room);
+    auto space = space_for_response(connection, entry);
+    if (space == 0) return;
+    auto got = connection.stream().fill(space);
     if (got == Stream::ReadResult::nothing) return;
     if (got == Stream::ReadResult::end && connection.response().close_delimited()) {
       connection.response().connection_closed();
@@ -176,11 +176,11 @@
 
 // How many bytes may be read. 0: the attempt is over, or reading goes on when the client has taken part of
 // the response or when the pool has a buffer. A response that can't be buffered further is streamed.
-std::size_t Upstreams::room_for_response(UpstreamConnection& connection, AttemptEntry entry) {
+std::size_t Upstreams::space_for_response(UpstreamConnection& connection, AttemptEntry entry) {
   auto& attempt = entry->second;
   auto& response = connection.response();
-  auto room = response.make_room();
-  if (room > 0) return room;
+  auto space = response.ensure_space();
+  if (space > 0) return space;
   if (!response.buffer_full()) {
     connection.stream().wait_for_buffer(EPOLLIN);
   } else if (is_invalid(response, attempt)) {
--- a/src/proxy/upstream/request.cpp
+++ b/src/proxy/upstream/request.cpp
@@ -54,7 +54,7 @@
     auto result = queue_body(stream.out());
     if (result == Message::MoveResult::nothing) break;
     if (result == Message::MoveResult::out_of_buffers) {
-      // Queued bytes make room once they are sent, which epoll reports.
+      // Otherwise epoll reports when queued bytes can be sent, which frees space.
       if (stream.flushed()) stream.wait_for_buffer(EPOLLOUT);
       break;
     }
@@ -63,7 +63,8 @@
   return moved && !message_->complete() ? SendResult::body_drained : SendResult::pending;
 }
 
-// Queues more of the body, and its end. `nothing`: enough is queued, or no more is received.
+// Queues more of the body, and the last chunk. Returns `nothing` if the queue is full or the rest of the body
+// has not been received yet.
 Message::MoveResult UpstreamRequest::queue_body(transport::Chain& out) {
   using MoveResult = Message::MoveResult;
   if (out.size() >= max_queued_bytes) return MoveResult::nothing;
--- a/src/proxy/upstream/upstreams.hpp
+++ b/src/proxy/upstream/upstreams.hpp
@@ -148,7 +148,7 @@
   bool send_pending(UpstreamConnection& connection, AttemptEntry entry);
   void read_response(UpstreamConnection& connection, AttemptEntry entry);
   bool parse_received(UpstreamConnection& connection, AttemptEntry entry);
-  std::size_t room_for_response(UpstreamConnection& connection, AttemptEntry entry);
+  std::size_t space_for_response(UpstreamConnection& connection, AttemptEntry entry);
   void response_head_received(UpstreamConnection& connection, AttemptEntry entry);
   void stream_response(UpstreamConnection& connection, AttemptEntry entry);
   void response_progressed(UpstreamConnection& connection, AttemptEntry entry);
--- a/src/transport/pool.cpp
+++ b/src/transport/pool.cpp
@@ -69,7 +69,7 @@
 
 bool Chain::append(std::string_view bytes) {
   auto old_count = buffers_.size();
-  while (room() < bytes.size()) {
+  while (free_space() < bytes.size()) {
     if (add_buffer(further_use_)) continue;
     buffers_.resize(old_count);
     return false;
@@ -93,9 +93,9 @@
   start_ = size_ == 0 ? 0 : start_ % buffer_size;
 }
 
-std::size_t Chain::make_room(std::size_t min_bytes, BufferUse use) {
-  if (room() < min_bytes) static_cast<void>(add_buffer(use));
-  return room();
+std::size_t Chain::ensure_space(std::size_t min_bytes, BufferUse use) {
+  if (free_space() < min_bytes) static_cast<void>(add_buffer(use));
+  return free_space();
 }
 
 Chain::Segment Chain::segment_at(std::size_t offset) const {
--- a/src/transport/pool.hpp
+++ b/src/transport/pool.hpp
@@ -62,8 +62,8 @@
 // Lends up to `max_buffers` buffers at a time and reuses returned ones. Must outlive the buffers on loan.
 //
 // Some of the buffers are reserved for essential uses. A connection needs one essential buffer at a time to
-// make progress, so with a reserve of one buffer for each connection that may be open none waits for another
-// one, whatever the others hold. Buffers beyond the reserve go to whoever asks first.
+// make progress. With a reserve of one buffer for each connection that may be open, no connection waits for
+// buffers that another one holds. Buffers beyond the reserve are lent in the order of the calls.
 class Pool {
  public:
   explicit Pool(std::size_t max_buffers) : max_buffers_(max_buffers) {}
@@ -112,7 +112,7 @@
   // Takes a buffer for `use` if fewer than `min_bytes`, at most `buffer_size`, fit into the last one; the
   // first buffer is essential. Returns how many bytes append() accepts without another buffer; less than
   // `min_bytes` if the pool has none.
-  std::size_t make_room(std::size_t min_bytes, BufferUse use);
+  std::size_t ensure_space(std::size_t min_bytes, BufferUse use);
   // Drops the first `n` bytes, or all if there are fewer. Buffers that become empty return to the pool.
   void consume(std::size_t n);
   // Drops `n` bytes from offset `from` on, or all behind it if there are fewer.
@@ -145,7 +145,7 @@
     std::size_t size;
   };
   [[nodiscard]] Segment segment_at(std::size_t offset) const;
-  [[nodiscard]] std::size_t room() const { return buffers_.size() * buffer_size - start_ - size_; }
+  [[nodiscard]] std::size_t free_space() const { return buffers_.size() * buffer_size - start_ - size_; }
   [[nodiscard]] bool add_buffer(BufferUse further_use);
 
   Pool* pool_;
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -153,7 +153,7 @@
 }
 
 // Where the system does not tell how much is unacknowledged, what it has taken counts as delivered.
-std::uint64_t Stream::delivered_bytes() const {
+std::uint64_t Stream::acknowledged_bytes() const {
   int unacknowledged_bytes = 0;
   if (ioctl(fd_.get(), SIOCOUTQ, &unacknowledged_bytes) != 0) return sent_bytes_;
   return sent_bytes_ - std::min(sent_bytes_, static_cast<std::uint64_t>(unacknowledged_bytes));
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -61,7 +61,7 @@
   bool flush();
   // The number of bytes that flush() has given to the system, and of those that the peer's system has taken.
   [[nodiscard]] std::uint64_t sent_bytes() const { return sent_bytes_; }
-  [[nodiscard]] std::uint64_t delivered_bytes() const;
+  [[nodiscard]] std::uint64_t acknowledged_bytes() const;
   // Whether the output queue is empty.
   [[nodiscard]] bool flushed() const { return output_.size() == 0; }
   // Closes the sending direction; the peer may still send.
--- a/tests/e2e/attempt_deadline_test.cpp
+++ b/tests/e2e/attempt_deadline_test.cpp
@@ -78,7 +78,7 @@
 
 // Guards against cutting off a long response of unknown length whose first bytes came in time: its upstream
 // pauses for half a second across the deadline.
-TEST(AttemptDeadline, LongResponseThatPausesAcrossTheDeadlineComesWhole) {
+TEST(AttemptDeadline, LongResponseMayPauseAcrossItsDeadline) {
   constexpr int budget_ms = 500;
   const std::string piece(16 * 1024, 'p');
   const std::string chunk = "4000\r\n" + piece + "\r\n";
@@ -100,7 +100,7 @@
 
 // Guards against cutting off a long response whose upstream hangs for longer than 10 s in the middle of it,
 // by the clock of the upstream or by that of a client that has received all there is.
-TEST(AttemptDeadline, LongResponseOfAnUpstreamThatHangsComesWhole) {
+TEST(AttemptDeadline, LongResponseMayHangForSeconds) {
   constexpr int hang_ms = 12000;
   const std::string body(200'000, 'p');
   ProxyProcess proxy(one_upstream(true));
--- a/tests/e2e/slow_peers_test.cpp
+++ b/tests/e2e/slow_peers_test.cpp
@@ -25,7 +25,7 @@
 constexpr long max_growth_bytes = 24L * 1024 * 1024;
 #endif
 
-ProxyOptions least_memory() { return {.upstreams = 2, .sockets = 1024, .memory_mb = 32}; }
+ProxyOptions small_memory() { return {.upstreams = 2, .sockets = 1024, .memory_mb = 32}; }
 
 // Sends an ordinary request on a new connection, and expects that it is served promptly.
 void expect_served_promptly(const ProxyProcess& proxy) {
@@ -41,7 +41,7 @@
 TEST(SlowPeers, SlowReadersOfLongResponsesLeaveBuffersForOthers) {
   const auto long_response = http_message("HTTP/1.1 200 OK", std::string(500'000, 'r'));
   {
-    ProxyProcess proxy(least_memory());
+    ProxyProcess proxy(small_memory());
     auto before = proxy.resident_bytes();
     auto respond = [&](const std::string& request) {
       return request.starts_with("POST /pay/long") ? long_response : ok_response;
@@ -83,7 +83,7 @@
 // larger ones. Each stopped client gets its error, and others are served.
 TEST(SlowPeers, UploadsThatStopHalfWayLeaveBuffersForOthers) {
   for (std::size_t body_bytes : {65'000, 2'000'000}) {
-    ProxyProcess proxy(least_memory());
+    ProxyProcess proxy(small_memory());
     auto before = proxy.resident_bytes();
     RespondingUpstream first(proxy.upstreams[0], [](const std::string&) { return ok_response; });
     RespondingUpstream second(proxy.upstreams[1], [](const std::string&) { return ok_response; });
@@ -101,7 +101,7 @@
 
 // Guards against a response that is replaced by an error because the pool has no buffers for it, and against
 // a request of a few buffers that is not forwarded for the same reason.
-TEST(SlowPeers, MessagesOfSeveralBuffersAreForwardedWholeWithoutSharedBuffers) {
+TEST(SlowPeers, LargerMessagesNeedNoSharedBuffers) {
   const std::string body(60'000, 'm');
   // As many descriptors as the buffers suffice for, so that all but a few buffers are reserved.
   ProxyProcess proxy({.upstreams = 1, .sockets = 4000, .memory_mb = 2});
--- a/tests/e2e/upload_deadline_test.cpp
+++ b/tests/e2e/upload_deadline_test.cpp
@@ -57,7 +57,7 @@
 
 // Guards against a time budget that begins when the balancer reads the last byte: the byte lay in the socket
 // while the upstream took the body slowly.
-TEST(UploadDeadline, TimeInTheSocketCountsForAnUploadThatIsTakenSlowly) {
+TEST(UploadDeadline, TimeInTheSocketCounts) {
   SlowUpstream slow;
   auto client = slow.proxy.connect();
   auto text = upload(stuck_body_bytes, false, budget_ms);
@@ -92,7 +92,7 @@
 
 // Guards against forwarding the rest of a body whose client has left while the balancer did not read: the
 // request would run for nobody.
-TEST(UploadDeadline, BodyOfAClientThatHasLeftIsNotForwardedToItsEnd) {
+TEST(UploadDeadline, BodyIsNotForwardedOnceItsClientHasLeft) {
   for (bool reset : {false, true}) {
     SlowUpstream slow;
     auto client = slow.proxy.connect();
@@ -109,7 +109,7 @@
 
 // Guards against a request that reaches its upstream long after its client has left: the system goes on
 // sending what it holds of a connection that is closed in an orderly way.
-TEST(UploadDeadline, RequestOnItsWayIsNotDeliveredOnceItsClientHasLeft) {
+TEST(UploadDeadline, RequestOnItsWayEndsWithItsClient) {
   constexpr std::size_t body_bytes = 8000;  // the system takes it whole
   SlowUpstream slow;
   auto client = slow.proxy.connect();
--- a/tests/proxy/upstream/upstreams_test.cpp
+++ b/tests/proxy/upstream/upstreams_test.cpp
@@ -99,9 +99,10 @@
 };
 using Outcomes = std::vector<Outcome>;
 
-// Guards against requests for a process that has gone which reach the one that started at its address: those
-// that wait for a connection, whether it is dialled already or not, and those for an idle connection.
-TEST(Upstreams, AnotherProcessAtTheAddressGetsNoAttemptOfTheOneBefore) {
+// Guards against sending a waiting request to another process than the one that was picked, after a new
+// process has started at the same address. The connection is dialled before or after the list names the new
+// process.
+TEST(Upstreams, NewProcessGetsNoAttemptOfTheOneBefore) {
   for (bool dialled : {false, true}) {
     UpstreamsFixture fixture;
     fixture.upstreams.start(1, EndpointIndex{0}, fixture.request,
--- a/tests/transport/transport_test.cpp
+++ b/tests/transport/transport_test.cpp
@@ -122,9 +122,9 @@
           chain.erase(from, size);
           model.erase(from, size);
         } else if (what == 4) {
-          auto room = chain.make_room(1 + size % buffer_size, BufferUse::shared);
-          if (room > 0) {
-            std::string more(room, 'r');
+          auto space = chain.ensure_space(1 + size % buffer_size, BufferUse::shared);
+          if (space > 0) {
+            std::string more(space, 'r');
             RC_ASSERT(chain.append(more));
             model += more;
           }
@@ -303,7 +303,7 @@
 }
 
 // Guards against unread input that holds buffers: without shared buffers it stays in the socket.
-TEST(Stream, LeavesUnconsumedInputInTheSocketWithoutSharedBuffers) {
+TEST(Stream, LeavesUnconsumedInputInTheSocket) {
   Pair p;
   p.pool.set_reserve(64);
   ASSERT_TRUE(p.a->out().append("first second"));
