--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -172,16 +172,21 @@
   EXPECT_TRUE(harness.finals.empty());
 }
 
-// Without hedging, an attempt at an unresponsive endpoint must time out early enough for a retry to meet the
-// latency objective.
-TEST(RetryPolicy, AttemptTimesOutInTimeForARetry) {
-  PolicyHarness harness({.copies = false}, 30, 5, depth_reported);
+// Serves 40 quick requests, so that the 95th percentile of the latencies is known.
+void serve_quick_requests(PolicyHarness& harness) {
   harness.load_report_of = [](int) { return LoadReport{2, {80, 0}}; };
   for (int i = 0; i < 40; ++i) {
     int id = harness.submit(0, 5000, 0, 100 + i);
     harness.pass(60);
     harness.end(id, 0, Outcome::succeeded);
   }
+}
+
+// Without hedging, an attempt at an unresponsive endpoint must time out early enough for a retry to meet the
+// latency objective.
+TEST(RetryPolicy, AttemptTimesOutInTimeForARetry) {
+  PolicyHarness harness({.copies = false}, 30, 5, depth_reported);
+  serve_quick_requests(harness);
   int id = harness.submit(0, 5000, 0, 7);
   harness.pass(1100);  // more than half the latency objective of 2000 ms
   ASSERT_TRUE(harness.requests.contains(id));
@@ -192,5 +197,21 @@
   EXPECT_EQ(harness.check.breach, "");
 }
 
+// Guards against giving up an upload that its client is still sending: a large body can't be sent again.
+TEST(RetryPolicy, LargeBodyIsNotGivenUpEarly) {
+  for (bool large : {false, true}) {
+    PolicyHarness harness({.copies = false}, 30, 5, depth_reported);
+    serve_quick_requests(harness);
+    Request request{.request_class = 0,
+                    .arrived_ms = harness.now_ms,
+                    .deadline_ms = harness.now_ms + 5000,
+                    .large_body = large,
+                    .body_incoming = large};
+    ASSERT_EQ(harness.policy.decide(request, harness.now_ms).kind, Decision::attempt);
+    bool is_given_up_early = harness.policy.attempt_timeout(request, harness.now_ms).limit_ms < 2000;
+    EXPECT_EQ(is_given_up_early, !large);
+  }
+}
+
 }  // namespace
 }  // namespace meadowgauge::test
